--- /dev/null
+++ b/cmd/vanillalock/main.go
@@ -0,0 +1,4 @@
+// Command vanillalock is the scheduler's single binary.
+package main
+
+func main() {}
