--- /dev/null
+++ b/internal/claims/claims.go
@@ -0,0 +1,197 @@
+// Package claims binds the idempotency key of a non-idempotent request to one
+// agent in the key-value service, so that a retry through any entry finds the
+// agent that may have run it.
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/kv"
+	"vanillalock.example/vanillalock/internal/rescode"
+)
+
+const (
+	prefix = "claims/"
+	// Retention is how long a claim outlives its creation. A caller that
+	// repeats a request later than this starts a new one.
+	Retention = 24 * time.Hour
+	// leaseBucket is how long one lease collects claims before the next is
+	// granted: one lease call per hour instead of one per claim.
+	leaseBucket = time.Hour
+)
+
+// Claim is the durable record of one idempotency key.
+type Claim struct {
+	Writer      string `json:"writer"`
+	Nonce       uint64 `json:"nonce"` // unique to one call of the writer
+	RequestID   string `json:"request_id"`
+	Fingerprint string `json:"fingerprint"` // of template, customer and parameters
+	Agent       string `json:"agent"`       // VM id of the agent that may run it
+	Incarnation uint64 `json:"incarnation"`
+	Moves       int    `json:"moves,omitempty"` // agents proven not to run it
+
+	version uint64
+}
+
+// Store creates and moves claims. It is safe for concurrent use.
+type Store struct {
+	kv     kv.Store
+	writer string
+	now    func() time.Time
+
+	mu      sync.Mutex
+	lease   kv.LeaseID
+	granted time.Time
+	nonce   uint64
+}
+
+// New returns a store that signs claims with writer, which must be unique to
+// the process incarnation.
+func New(store kv.Store, writer string, now func() time.Time) *Store {
+	return &Store{kv: store, writer: writer, now: now}
+}
+
+// Create claims the key for an agent. created is false when the key is already
+// claimed; the existing claim is then returned. StoreUnavailable proves that
+// nothing was claimed; StoreUncertain does not.
+func (s *Store) Create(ctx context.Context, customer, key string, claim Claim) (result Claim, created bool, err error) {
+	lease, err := s.currentLease(ctx)
+	if err != nil {
+		return Claim{}, false, err
+	}
+	claim.Writer, claim.Nonce = s.writer, s.nextNonce()
+	value, err := json.Marshal(claim)
+	if err != nil {
+		return Claim{}, false, rescode.Errorf(rescode.Internal, "encode claim: %w", err)
+	}
+	path := keyOf(customer, key)
+	entry, err := s.kv.CompareAndSwap(ctx, path, 0, value, lease)
+	switch {
+	case err == nil:
+		claim.version = entry.Version
+		return claim, true, nil
+	case errors.Is(err, kv.ErrConflict):
+		stored, _, err := s.readBack(ctx, path, claim)
+		return stored, false, err
+	case errors.Is(err, kv.ErrUncertain):
+		return s.readBack(ctx, path, claim)
+	case errors.Is(err, kv.ErrNotFound):
+		s.dropLease(lease)
+		return Claim{}, false, rescode.Errorf(rescode.StoreUnavailable, "the lease of claims has ended")
+	default:
+		return Claim{}, false, rescode.Errorf(rescode.StoreUnavailable, "create claim: %w", err)
+	}
+}
+
+// Move binds the claim to another agent. The caller must hold a proof that the
+// agent named in claim has not run the request and never will.
+func (s *Store) Move(ctx context.Context, customer, key string, claim Claim, agent string, incarnation uint64) (Claim, error) {
+	next := claim
+	next.Writer, next.Nonce = s.writer, s.nextNonce()
+	next.Agent, next.Incarnation = agent, incarnation
+	next.Moves++
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Claim{}, rescode.Errorf(rescode.Internal, "encode claim: %w", err)
+	}
+	lease, err := s.currentLease(ctx)
+	if err != nil {
+		return Claim{}, err
+	}
+	path := keyOf(customer, key)
+	entry, err := s.kv.CompareAndSwap(ctx, path, claim.version, value, lease)
+	if err == nil {
+		next.version = entry.Version
+		return next, nil
+	}
+	if !errors.Is(err, kv.ErrConflict) && !errors.Is(err, kv.ErrUncertain) {
+		return Claim{}, rescode.Errorf(rescode.StoreUnavailable, "move claim: %w", err)
+	}
+	stored, mine, err := s.readBack(ctx, path, next)
+	if err != nil {
+		return Claim{}, err
+	}
+	if !mine {
+		return stored, rescode.Errorf(rescode.VersionConflict, "another entry moved the claim")
+	}
+	return stored, nil
+}
+
+// Get returns the claim of a key, or NotFound.
+func (s *Store) Get(ctx context.Context, customer, key string) (Claim, error) {
+	claim, err := s.read(ctx, keyOf(customer, key))
+	if errors.Is(err, kv.ErrNotFound) {
+		return Claim{}, rescode.Errorf(rescode.NotFound, "no claim for this key")
+	}
+	if err != nil {
+		return Claim{}, rescode.Errorf(rescode.StoreUnavailable, "read claim: %w", err)
+	}
+	return claim, nil
+}
+
+// readBack tells whether the stored claim is the one sent.
+func (s *Store) readBack(ctx context.Context, path string, sent Claim) (Claim, bool, error) {
+	stored, err := s.read(ctx, path)
+	if errors.Is(err, kv.ErrNotFound) {
+		return Claim{}, false, rescode.Errorf(rescode.StoreUncertain, "the claim is not visible yet")
+	}
+	if err != nil {
+		return Claim{}, false, rescode.Errorf(rescode.StoreUncertain, "read claim back: %w", err)
+	}
+	return stored, stored.Writer == sent.Writer && stored.Nonce == sent.Nonce, nil
+}
+
+func (s *Store) read(ctx context.Context, path string) (Claim, error) {
+	entry, err := s.kv.Get(ctx, path)
+	if err != nil {
+		return Claim{}, err
+	}
+	var claim Claim
+	if err := json.Unmarshal(entry.Value, &claim); err != nil {
+		return Claim{}, err
+	}
+	claim.version = entry.Version
+	return claim, nil
+}
+
+// currentLease returns the lease that new claims are attached to. It is never
+// kept alive: its claims vanish Retention after the bucket ends.
+func (s *Store) currentLease(ctx context.Context) (kv.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lease != 0 && s.now().Sub(s.granted) < leaseBucket {
+		return s.lease, nil
+	}
+	id, err := s.kv.GrantLease(ctx, Retention+leaseBucket)
+	if err != nil {
+		return 0, rescode.Errorf(rescode.StoreUnavailable, "grant the lease of claims: %w", err)
+	}
+	s.lease, s.granted = id, s.now()
+	return id, nil
+}
+
+func (s *Store) nextNonce() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nonce++
+	return s.nonce
+}
+
+func (s *Store) dropLease(id kv.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lease == id {
+		s.lease = 0
+	}
+}
+
+func keyOf(customer, key string) string {
+	sum := sha256.Sum256([]byte(customer + "\x00" + key))
+	return prefix + hex.EncodeToString(sum[:16])
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,219 @@
+// Package wire carries protobuf frames between the system's processes over
+// yamux sessions on TCP, optionally with mutual TLS.
+//
+// A session that is silent for SilenceLimit is closed: yamux sends a ping each
+// keepAliveInterval and waits at most pingTimeout for the reply. Every frame
+// read and write has a deadline.
+package wire
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+const (
+	// MaxFrameBytes is the largest frame accepted.
+	MaxFrameBytes = 1 << 20
+	// SilenceLimit is the time after which a silent session is closed.
+	SilenceLimit = keepAliveInterval + pingTimeout
+
+	keepAliveInterval = 1 * time.Second
+	pingTimeout       = 900 * time.Millisecond
+	dialTimeout       = 1 * time.Second
+	writeTimeout      = 2 * time.Second
+	// acceptBacklog bounds the streams that the peer may open before they are
+	// accepted; it is above the 64 connections of an upstream times its entries.
+	acceptBacklog = 1024
+)
+
+// ErrClosed means the session has ended.
+var ErrClosed = errors.New("wire: session closed")
+
+// Stats counts the bytes of a session, including yamux framing.
+type Stats struct {
+	BytesSent     atomic.Uint64
+	BytesReceived atomic.Uint64
+}
+
+// Session is one connection to another process. It is safe for concurrent use.
+type Session struct {
+	mux   *yamux.Session
+	stats *Stats
+}
+
+// Dial connects to a listening process. A nil TLS configuration means plain TCP.
+// Traffic is counted in stats, which may be shared by several sessions.
+func Dial(ctx context.Context, address string, tlsConfig *tls.Config, stats *Stats) (*Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	if tlsConfig != nil {
+		secured := tls.Client(conn, tlsConfig)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("TLS handshake with %s: %w", address, err)
+		}
+		conn = secured
+	}
+	mux, err := yamux.Client(count(conn, stats), muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("start session with %s: %w", address, err)
+	}
+	return &Session{mux: mux, stats: stats}, nil
+}
+
+// Accept starts a session on an accepted connection.
+func Accept(conn net.Conn, stats *Stats) (*Session, error) {
+	mux, err := yamux.Server(count(conn, stats), muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("start session: %w", err)
+	}
+	return &Session{mux: mux, stats: stats}, nil
+}
+
+// Listen listens on a TCP address, with TLS if the configuration is not nil.
+func Listen(address string, tlsConfig *tls.Config) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	return listener, nil
+}
+
+// Open opens a stream.
+func (s *Session) Open() (*Stream, error) {
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
+	}
+	return newStream(stream), nil
+}
+
+// AcceptStream waits for a stream that the peer opens.
+func (s *Session) AcceptStream() (*Stream, error) {
+	stream, err := s.mux.AcceptStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
+	}
+	return newStream(stream), nil
+}
+
+// Close closes the session and all its streams.
+func (s *Session) Close() error { return s.mux.Close() }
+
+// Done is closed when the session has ended.
+func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
+
+// RemoteAddr returns the peer's address.
+func (s *Session) RemoteAddr() string { return s.mux.RemoteAddr().String() }
+
+// Stream carries frames. Send is safe for concurrent use; Receive is not.
+type Stream struct {
+	stream *yamux.Stream
+	reader *bufio.Reader
+	sendMu sync.Mutex
+}
+
+func newStream(stream *yamux.Stream) *Stream {
+	return &Stream{stream: stream, reader: bufio.NewReaderSize(stream, 1024)}
+}
+
+// Send writes one frame.
+func (s *Stream) Send(frame *pb.Frame) error {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("%w: %w", ErrClosed, err)
+	}
+	// One Write per frame, so that a deadline never leaves half a frame's
+	// header behind for another sender to complete.
+	buffered := bufio.NewWriterSize(s.stream, 4096)
+	if _, err := protodelim.MarshalTo(buffered, frame); err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	if err := buffered.Flush(); err != nil {
+		_ = s.stream.Close()
+		return fmt.Errorf("%w: %w", ErrClosed, err)
+	}
+	return nil
+}
+
+// Receive reads one frame. A timeout of 0 waits until the session ends.
+func (s *Stream) Receive(timeout time.Duration) (*pb.Frame, error) {
+	var deadline time.Time
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	if err := s.stream.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
+	}
+	return ReadFrame(s.reader)
+}
+
+// Close closes the sending side of the stream.
+func (s *Stream) Close() error { return s.stream.Close() }
+
+// ReadFrame decodes one frame of at most MaxFrameBytes.
+func ReadFrame(reader protodelim.Reader) (*pb.Frame, error) {
+	frame := &pb.Frame{}
+	err := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}.UnmarshalFrom(reader, frame)
+	if err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	return frame, nil
+}
+
+func muxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = pingTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+type countedConn struct {
+	net.Conn
+	stats *Stats
+}
+
+func count(conn net.Conn, stats *Stats) net.Conn {
+	if stats == nil {
+		return conn
+	}
+	return &countedConn{Conn: conn, stats: stats}
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.stats.BytesReceived.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.stats.BytesSent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,124 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+func pair(t *testing.T) (client, server *Session, conns chan net.Conn) {
+	t.Helper()
+	listener, err := Listen("127.0.0.1:0", nil)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan *Session, 1)
+	conns = make(chan net.Conn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		conns <- conn
+		if s, err := Accept(conn, nil); err == nil {
+			accepted <- s
+		}
+	}()
+	client, err = Dial(context.Background(), listener.Addr().String(), nil, &Stats{})
+	require.NoError(t, err)
+	server = <-accepted
+	t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+	return client, server, conns
+}
+
+// Guards against frames of concurrent senders being mixed on one stream.
+func TestConcurrentSendsKeepFramesWhole(t *testing.T) {
+	client, server, _ := pair(t)
+	out, err := client.Open()
+	require.NoError(t, err)
+	const senders, each = 8, 50
+	for i := range senders {
+		go func() {
+			for n := range each {
+				body := bytes.Repeat([]byte{byte(i)}, 1+n*97%5000)
+				_ = out.Send(&pb.Frame{Body: &pb.Frame_Response{Response: &pb.Response{Id: "r", Body: body}}})
+			}
+		}()
+	}
+	in, err := server.AcceptStream()
+	require.NoError(t, err)
+	for range senders * each {
+		frame, err := in.Receive(0)
+		require.NoError(t, err)
+		body := frame.GetResponse().GetBody()
+		require.Equal(t, len(body), bytes.Count(body, body[:1]))
+	}
+}
+
+// Guards against a peer that makes a process allocate a frame of any size.
+func TestOversizedFrameIsRefused(t *testing.T) {
+	var buf bytes.Buffer
+	frame := &pb.Frame{Body: &pb.Frame_Response{Response: &pb.Response{Body: make([]byte, MaxFrameBytes+1)}}}
+	_, err := protodelim.MarshalTo(&buf, frame)
+	require.NoError(t, err)
+	_, err = ReadFrame(bufio.NewReader(&buf))
+	require.ErrorContains(t, err, "size")
+}
+
+// Guards against a receive that waits forever on a session whose peer is gone.
+func TestReceiveEndsWhenPeerCloses(t *testing.T) {
+	client, server, _ := pair(t)
+	out, err := client.Open()
+	require.NoError(t, err)
+	require.NoError(t, out.Send(&pb.Frame{}))
+	in, err := server.AcceptStream()
+	require.NoError(t, err)
+	_, err = in.Receive(0)
+	require.NoError(t, err)
+	require.NoError(t, client.Close())
+	_, err = in.Receive(0)
+	require.Error(t, err)
+	<-server.Done()
+}
+
+// Guards against a connection that goes silent without closing: the session
+// must end by itself. The relay stops forwarding, so no reset reaches the peer.
+func TestSilentConnectionEndsSession(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() {
+		buf := make([]byte, 4096)
+		for {
+			if _, err := far.Read(buf); err != nil {
+				return
+			}
+		}
+	}()
+	session, err := Accept(near, nil)
+	require.NoError(t, err)
+	select {
+	case <-session.Done():
+	case <-time.After(time.Minute):
+		t.Fatal("the session did not end")
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	var buf bytes.Buffer
+	_, _ = protodelim.MarshalTo(&buf, &pb.Frame{Body: &pb.Frame_Resolve{Resolve: &pb.Resolve{Id: "x", Tombstone: true}}})
+	f.Add(buf.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := ReadFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err == nil && frame == nil {
+			t.Fatal("no frame and no error")
+		}
+	})
+}
