Add the decision packages of the request path

Cause: entry and agent need admission, size classes, slots, routing, retries, outlier ejection, answer correlation and deduplication as pure packages. Time is passed in; there are no goroutines and no sockets.

--- /dev/null
+++ b/internal/request/admission/limit.go
@@ -0,0 +1,70 @@
+package admission
+
+import "time"
+
+// Limit is an adaptive bound on the requests that one entry has in flight.
+//
+// It is AIMD on the time requests wait in the queue of the agent, which every
+// response states apart from the run time. A gradient of the total latency was
+// not chosen: run times differ by a factor of a hundred between size classes, so
+// a changed mix looks like congestion; and several entries share the upstreams,
+// where additive increase with multiplicative decrease converges to equal shares
+// and a gradient keeps the shares it started with.
+type Limit struct {
+	cfg     LimitConfig
+	value   float64
+	end     time.Time // of the current interval
+	results int
+	late    int
+	reached bool // the limit was reached in this interval
+}
+
+// LimitConfig holds the parameters of a Limit.
+type LimitConfig struct {
+	Initial, Min, Max int
+	// TargetWait is the wait at the agent above which a result counts as late.
+	TargetWait time.Duration
+	// Interval between adjustments.
+	Interval time.Duration
+	// Increase is the share of the limit added per interval (at least 1);
+	// Decrease is the factor applied when more than half of the results are late.
+	Increase, Decrease float64
+}
+
+// NewLimit returns a Limit at its initial value.
+func NewLimit(cfg LimitConfig) *Limit {
+	return &Limit{cfg: cfg, value: float64(cfg.Initial)}
+}
+
+// Value returns the present limit.
+func (l *Limit) Value() int { return int(l.value) }
+
+// Reached records that the limit held a request back.
+func (l *Limit) Reached() { l.reached = true }
+
+// Observe records the wait of a finished request at its agent. Congested is true
+// if the agent refused it for lack of slots, queue or connections.
+func (l *Limit) Observe(now time.Time, wait time.Duration, congested bool) {
+	l.results++
+	if congested || wait > l.cfg.TargetWait {
+		l.late++
+	}
+	if l.end.IsZero() {
+		l.end = now.Add(l.cfg.Interval)
+	}
+	if !now.Before(l.end) {
+		l.adjust(now)
+	}
+}
+
+func (l *Limit) adjust(now time.Time) {
+	switch {
+	case 2*l.late > l.results:
+		l.value *= l.cfg.Decrease
+	case l.reached:
+		l.value += max(1, l.value*l.cfg.Increase)
+	}
+	l.value = min(max(l.value, float64(l.cfg.Min)), float64(l.cfg.Max))
+	l.results, l.late, l.reached = 0, 0, false
+	l.end = now.Add(l.cfg.Interval)
+}
--- /dev/null
+++ b/internal/request/slots/slots.go
@@ -0,0 +1,290 @@
+// Package slots schedules the requests of one upstream onto its slots.
+//
+// Slots and connections are hard limits. A request holds a connection from
+// Submit until it ends, and a slot from Next until it ends. The queue is bounded
+// per size class. Short work goes first; some slots are never given to longer
+// work, and long work never starts in more than a bounded number of slots. So
+// that longer work does not starve, a queue whose head has waited for the aging
+// time goes before shorter ones while its class holds fewer slots than its
+// guaranteed share.
+//
+// A running request that outlasts its class is moved to the longer class with
+// Reclassify. It keeps its slot, counts against the bounds of its new class and
+// thereby delays the next start of that class. A Scheduler is not safe for
+// concurrent use.
+package slots
+
+import (
+	"time"
+
+	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+const classes = int(structs.SizeLong) + 1
+
+// Config holds the limits of a Scheduler. Arrays are indexed by size class.
+type Config struct {
+	Slots, Connections int
+	// ReservedShort slots are never given to medium or long work.
+	ReservedShort int
+	// MaxLong is the largest number of slots in which long work starts,
+	// requests reclassified as long included.
+	MaxLong int
+	// MaxQueue bounds the queue of each class.
+	MaxQueue [classes]int
+	// Aging is the wait after which the head of a queue goes first while its
+	// class holds fewer than Guaranteed slots.
+	Aging      [classes]time.Duration
+	Guaranteed [classes]int
+	// Typical is the run time assumed for a class until one was measured.
+	Typical [classes]time.Duration
+}
+
+// DefaultConfig returns the limits of an upstream with 8 slots and 64
+// connections.
+func DefaultConfig() Config {
+	return Config{
+		Slots: 8, Connections: 64, ReservedShort: 2, MaxLong: 4,
+		MaxQueue:   [classes]int{32, 16, 16},
+		Aging:      [classes]time.Duration{0, 500 * time.Millisecond, 2 * time.Second},
+		Guaranteed: [classes]int{0, 1, 1},
+		Typical:    [classes]time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second},
+	}
+}
+
+// Item is a request.
+type Item struct {
+	ID     string
+	Class  structs.SizeClass
+	Urgent bool // latency-critical: before batch work of the same class
+	// Deadline is zero if there is none; Expected is the expected run time.
+	Deadline time.Time
+	Expected time.Duration
+}
+
+// Load is the state that the agent reports to the entries.
+type Load struct {
+	Busy, Connections int
+	Running, Queued   [classes]int
+	// ShortWait is the expected wait of a short request that arrives now.
+	ShortWait time.Duration
+}
+
+type queued struct {
+	item  Item
+	since time.Time
+}
+
+// Scheduler holds the queues and slots of one upstream. Create it with New.
+type Scheduler struct {
+	cfg     Config
+	queues  [classes][2]fifo // [class][0 urgent, 1 batch]
+	queue   map[string]structs.SizeClass
+	running map[string]structs.SizeClass
+	busy    [classes]int
+	run     [classes]time.Duration // moving average of measured run times
+}
+
+// New returns an idle Scheduler.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg: cfg, run: cfg.Typical,
+		queue:   make(map[string]structs.SizeClass),
+		running: make(map[string]structs.SizeClass),
+	}
+}
+
+// Submit queues a request, or returns the code of the refusal. A refused request
+// is not held and never starts. An id that is already held is refused with
+// rescode.RequestIDConflict.
+func (s *Scheduler) Submit(now time.Time, it Item) rescode.Code {
+	switch {
+	case s.holds(it.ID):
+		return rescode.RequestIDConflict
+	case len(s.queue)+len(s.running) >= s.cfg.Connections:
+		return rescode.ConnectionsFull
+	case s.queuedIn(it.Class) >= s.cfg.MaxQueue[it.Class]:
+		return rescode.SlotsFull
+	case missed(now, it):
+		return rescode.DeadlineUnmet
+	}
+	s.queues[it.Class][rank(it)].push(queued{it, now})
+	s.queue[it.ID] = it.Class
+	return rescode.OK
+}
+
+// Next starts the next request, if any may start. The caller repeats it until ok
+// is false, after each Submit, Finish and Reclassify. Expired returns the
+// requests that left the queue because they can no longer meet their deadline;
+// they never start (rescode.DeadlineUnmet).
+func (s *Scheduler) Next(now time.Time) (it Item, expired []Item, ok bool) {
+	expired = s.expireHeads(now)
+	if s.Busy() >= s.cfg.Slots {
+		return Item{}, expired, false
+	}
+	if q := s.choose(now); q != nil {
+		it = q.pop().item
+		delete(s.queue, it.ID)
+		s.running[it.ID] = it.Class
+		s.busy[it.Class]++
+		return it, expired, true
+	}
+	return Item{}, expired, false
+}
+
+// Finish frees the slot and the connection of a running request and learns its
+// run time. It returns false if the request does not run.
+func (s *Scheduler) Finish(id string, run time.Duration) bool {
+	class, ok := s.running[id]
+	if !ok {
+		return false
+	}
+	delete(s.running, id)
+	s.busy[class]--
+	s.run[class] += (run - s.run[class]) / 8
+	return true
+}
+
+// Cancel removes a queued request. It returns false if the request is not
+// queued: a running one keeps its slot until the upstream ends it.
+func (s *Scheduler) Cancel(id string) bool {
+	class, ok := s.queue[id]
+	if !ok {
+		return false
+	}
+	delete(s.queue, id)
+	for rank := range s.queues[class] {
+		if s.queues[class][rank].remove(id) {
+			break
+		}
+	}
+	return true
+}
+
+// Reclassify moves a running request to a longer class. It returns false if the
+// request does not run or the class is not longer.
+func (s *Scheduler) Reclassify(id string, class structs.SizeClass) bool {
+	old, ok := s.running[id]
+	if !ok || class <= old {
+		return false
+	}
+	s.running[id] = class
+	s.busy[old]--
+	s.busy[class]++
+	return true
+}
+
+// Busy returns the number of occupied slots.
+func (s *Scheduler) Busy() int { return len(s.running) }
+
+// Load returns the state for a report.
+func (s *Scheduler) Load() Load {
+	l := Load{Busy: s.Busy(), Connections: len(s.queue) + len(s.running), Running: s.busy}
+	for c := range classes {
+		l.Queued[c] = s.queuedIn(structs.SizeClass(c))
+	}
+	l.ShortWait = s.shortWait()
+	return l
+}
+
+// shortWait is the time until the short requests ahead have started in the slots
+// that longer work does not hold. If longer work holds all slots (stragglers),
+// its own run time decides.
+func (s *Scheduler) shortWait() time.Duration {
+	free := s.cfg.Slots - s.Busy()
+	ahead := s.queuedIn(structs.SizeShort)
+	if free > ahead {
+		return 0
+	}
+	turns := time.Duration(ahead - free + 1)
+	usable := s.cfg.Slots - s.busy[structs.SizeMedium] - s.busy[structs.SizeLong]
+	if usable > 0 {
+		return s.run[structs.SizeShort] * turns / time.Duration(usable)
+	}
+	return s.run[structs.SizeMedium] * turns / time.Duration(s.cfg.Slots)
+}
+
+// choose returns the queue whose head starts next, or nil.
+func (s *Scheduler) choose(now time.Time) *fifo {
+	for c := classes - 1; c > 0; c-- {
+		if s.busy[c] >= s.cfg.Guaranteed[c] || !s.mayStart(c) {
+			continue
+		}
+		if q := s.oldest(c); q != nil && now.Sub(q.head().since) >= s.cfg.Aging[c] {
+			return q
+		}
+	}
+	for c := range classes {
+		if !s.mayStart(c) {
+			continue
+		}
+		for rank := range s.queues[c] {
+			if s.queues[c][rank].len() > 0 {
+				return &s.queues[c][rank]
+			}
+		}
+	}
+	return nil
+}
+
+// mayStart reports whether the bounds of a class allow one more start.
+func (s *Scheduler) mayStart(class int) bool {
+	if class == int(structs.SizeShort) {
+		return true
+	}
+	longer := s.busy[structs.SizeMedium] + s.busy[structs.SizeLong]
+	if longer >= s.cfg.Slots-s.cfg.ReservedShort {
+		return false
+	}
+	return class != int(structs.SizeLong) || s.busy[structs.SizeLong] < s.cfg.MaxLong
+}
+
+// oldest returns the queue of a class with the longest waiting head, or nil.
+func (s *Scheduler) oldest(class int) *fifo {
+	a, b := &s.queues[class][0], &s.queues[class][1]
+	switch {
+	case a.len() == 0 && b.len() == 0:
+		return nil
+	case b.len() == 0 || (a.len() > 0 && !b.head().since.Before(a.head().since)):
+		return a
+	default:
+		return b
+	}
+}
+
+func (s *Scheduler) expireHeads(now time.Time) []Item {
+	var out []Item
+	for c := range s.queues {
+		for rank := range s.queues[c] {
+			q := &s.queues[c][rank]
+			for q.len() > 0 && missed(now, q.head().item) {
+				it := q.pop().item
+				delete(s.queue, it.ID)
+				out = append(out, it)
+			}
+		}
+	}
+	return out
+}
+
+func (s *Scheduler) holds(id string) bool {
+	_, waits := s.queue[id]
+	_, runs := s.running[id]
+	return waits || runs
+}
+
+func (s *Scheduler) queuedIn(c structs.SizeClass) int {
+	return s.queues[c][0].len() + s.queues[c][1].len()
+}
+
+func missed(now time.Time, it Item) bool {
+	return !it.Deadline.IsZero() && now.Add(it.Expected).After(it.Deadline)
+}
+
+func rank(it Item) int {
+	if it.Urgent {
+		return 0
+	}
+	return 1
+}
