--- /dev/null
+++ b/internal/request/outlier/outlier_test.go
@@ -0,0 +1,167 @@
+package outlier
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A fixed seed gives the same verdict in every run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+// Guards against ejecting more than a third, an ejected upstream that draws
+// traffic, parallel probes, and ejection times outside their bounds. The state
+// after each step is compared with one derived from the full list of changes.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, now, n := New(DefaultConfig()), epoch, rapid.IntRange(1, 12).Draw(t, "n")
+		states, since := map[string]State{}, map[string]time.Time{}
+		for i := range n {
+			d.Add(fmt.Sprint(i))
+			states[fmt.Sprint(i)] = Healthy
+		}
+		apply := func(c Change) {
+			if from := states[c.ID]; from == Ejected && c.State == Probation {
+				length := now.Sub(since[c.ID])
+				require.GreaterOrEqual(t, length, DefaultConfig().BaseEjection)
+			}
+			states[c.ID], since[c.ID] = c.State, now
+		}
+		for range 300 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprint(rapid.IntRange(0, n-1).Draw(t, "id"))
+			if rapid.IntRange(0, 99).Draw(t, "remove") == 0 {
+				d.Remove(id)
+				delete(states, id)
+			}
+			for _, c := range d.Advance(now) {
+				apply(c)
+			}
+			if allowed := d.Allow(now, id); allowed {
+				require.NotEqual(t, Ejected, states[id])
+				if states[id] == Probation {
+					require.False(t, d.Allow(now, id), "two probes at once")
+				}
+				if c, changed := d.Observe(now, id, rapid.IntRange(0, 9).Draw(t, "fail") < 7); changed {
+					apply(c)
+				}
+			}
+			withheld := 0
+			for id, s := range states {
+				require.Equal(t, s, d.State(id))
+				if s != Healthy {
+					withheld++
+				}
+			}
+			require.Equal(t, withheld, d.Withheld())
+			require.LessOrEqual(t, withheld, len(states)/3)
+		}
+	})
+}
+
+// Guards against a wrong count after window changes: the counters are compared
+// with a recount of the whole log.
+func TestCountsAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.Consecutive = 1 << 30
+		d, u, now := New(cfg), &upstream{}, epoch
+		type event struct {
+			window int64
+			failed bool
+		}
+		var log []event
+		window := int64(0)
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			if !now.Before(u.windowEnd) { // windows start with the first outcome after the last one
+				window++
+				if now.Sub(u.windowEnd) >= cfg.Window {
+					window++ // a whole window without outcomes
+				}
+			}
+			d.roll(now, u)
+			failed := rapid.Bool().Draw(t, "failed")
+			if failed {
+				u.current.failed++
+			} else {
+				u.current.ok++
+			}
+			log = append(log, event{window, failed})
+			bad, all := 0, 0
+			for _, e := range log {
+				if e.window >= window-1 {
+					all++
+					if e.failed {
+						bad++
+					}
+				}
+			}
+			require.Equal(t, all >= cfg.MinRequests && 2*bad >= all, d.failing(u))
+		}
+	})
+}
+
+// Guards against an upstream that fails at once and draws all traffic: with
+// least outstanding requests it would get every request. Also checks doubling,
+// the cap and the return.
+func TestFastFailureIsEjected(t *testing.T) {
+	cfg := DefaultConfig()
+	d, now := New(cfg), epoch
+	for i := range 11 {
+		d.Add(fmt.Sprint(i))
+	}
+	failed, previous := 0, time.Duration(0)
+	for range 12 {
+		start := now
+		for d.State("0") != Ejected {
+			for _, c := range d.Advance(now) {
+				assert.NotEqual(t, Ejected, c.State)
+			}
+			if d.Allow(now, "0") {
+				d.Observe(now, "0", true)
+				failed++
+			}
+		}
+		assert.LessOrEqual(t, failed, cfg.Consecutive+1)
+		failed = 0
+		for d.State("0") == Ejected {
+			now = now.Add(time.Second)
+			d.Advance(now)
+		}
+		length := now.Sub(start)
+		if previous > 0 {
+			assert.Equal(t, min(2*previous, cfg.MaxEjection), length)
+		}
+		previous = length
+	}
+	for range cfg.Probes {
+		require.True(t, d.Allow(now, "0"))
+		d.Observe(now, "0", false)
+	}
+	assert.Equal(t, Healthy, d.State("0"))
+}
+
+// Guards against removing capacity when every upstream fails alike.
+func TestCommonCauseEjectsNothingMore(t *testing.T) {
+	d := New(DefaultConfig())
+	for i := range 9 {
+		d.Add(fmt.Sprint(i))
+	}
+	for i := range 1000 {
+		d.Observe(epoch, fmt.Sprint(i%9), true)
+	}
+	assert.LessOrEqual(t, d.Withheld(), 3)
+}
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -90,6 +90,9 @@
 // Next decides on a retry after a failed attempt and spends the budget for it.
 func (p *Policy) Next(a Attempt) Decision {
 	stop := Decision{Code: a.Code}
+	if a.MayHaveRun && a.Code.Outcome() == rescode.NotRun {
+		stop.Code = rescode.AnswerLost
+	}
 	if a.Code == rescode.OK || !retryable(a) || a.Number >= p.cfg.MaxAttempts {
 		return stop
 	}
