Add stand-ins for the KV service, worker and upstream

The entry and the agent are met with failures of the platform only if something brings them about. The stand-ins serve the HTTP APIs of the three adapters, with POST and GET /faults and GET /records.

kv wraps the in-memory store: outage, slowness, answers lost after the effect, silent connections, calls per second by kind. worker runs attempts as virtual work, event by event on one timer: share, pairwise slowdown, own leases, fencing tokens, tombstones, checkpoints that any worker resumes from, lagged and noisy usage. upstream runs requests in slots with stragglers and counts requests beyond its slots and connections.

The client over the stand-in gives the same results as the in-memory store (rapid).

--- /dev/null
+++ b/internal/standin/kv/kv_test.go
@@ -0,0 +1,158 @@
+package kv
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	store "vanillalock.example/vanillalock/internal/kv"
+	"vanillalock.example/vanillalock/internal/standin/control"
+)
+
+var ctx = context.Background()
+
+func serve(t *testing.T) (*Server, *store.Client) {
+	s := New(Options{})
+	server := httptest.NewUnstartedServer(s)
+	s.Configure(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return s, client(t, server.URL, time.Minute)
+}
+
+func client(t *testing.T, url string, timeout time.Duration) *store.Client {
+	c, err := store.NewClient(url, store.ClientOptions{Timeout: timeout})
+	require.NoError(t, err)
+	return c
+}
+
+// TestSameAsMemory guards against the client and the stand-in differing from
+// the in-memory store in results or errors.
+func TestSameAsMemory(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := New(Options{})
+		server := httptest.NewServer(s)
+		defer server.Close()
+		remote := client(t, server.URL, time.Minute)
+		naive := store.NewMemory(nil)
+		for range rapid.IntRange(1, 12).Draw(r, "calls") {
+			key := rapid.SampledFrom([]string{"a", "a/b", "c?&\"é"}).Draw(r, "key")
+			version := rapid.Uint64Range(0, 3).Draw(r, "version")
+			value := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(r, "value")
+			lease := store.LeaseID(rapid.Uint64Range(0, 2).Draw(r, "lease"))
+			op := rapid.IntRange(0, 6).Draw(r, "op")
+			want, wantErr := apply(naive, op, key, version, value, lease)
+			got, gotErr := apply(remote, op, key, version, value, lease)
+			require.Equal(t, want, got)
+			require.ErrorIs(t, gotErr, wantErr)
+		}
+	})
+}
+
+func apply(s store.Store, op int, key string, version uint64, value []byte, lease store.LeaseID) (any, error) {
+	switch op {
+	case 0:
+		e, err := s.Get(ctx, key)
+		return normal(e), err
+	case 1:
+		e, err := s.CompareAndSwap(ctx, key, version, value, lease)
+		return normal(e), err
+	case 2:
+		return nil, s.Delete(ctx, key, version)
+	case 3:
+		id, err := s.GrantLease(ctx, time.Hour)
+		return id, err
+	case 4:
+		return nil, s.Revoke(ctx, lease)
+	case 5:
+		return nil, s.KeepAlive(ctx, lease)
+	}
+	entries, revision, err := s.List(ctx, key)
+	for i := range entries {
+		entries[i] = normal(entries[i])
+	}
+	return [2]any{len(entries), revision}, err
+}
+
+// normal makes an empty value nil, as JSON does not tell them apart.
+func normal(e store.Entry) store.Entry {
+	if len(e.Value) == 0 {
+		e.Value = nil
+	}
+	return e
+}
+
+// TestLostAnswer guards against an applied write whose answer is lost being
+// reported as not applied.
+func TestLostAnswer(t *testing.T) {
+	s, c := serve(t)
+	require.NoError(t, s.SetFaults(Faults{LoseAnswers: 1}))
+	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("v"), 0)
+	require.ErrorIs(t, err, store.ErrUncertain)
+	e, err := c.Get(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, "v", string(e.Value))
+	require.EqualValues(t, 1, s.Records().AnswersLost)
+}
+
+// TestOutage guards against calls that succeed in an outage and watches that
+// do not notice it.
+func TestOutage(t *testing.T) {
+	s, c := serve(t)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := c.Watch(ctx, "a", 0)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return s.Records().Calls.Watches == 1 }, time.Minute, time.Millisecond)
+	require.NoError(t, s.SetFaults(Faults{Down: true}))
+	require.ErrorIs(t, <-done, store.ErrUnavailable)
+	_, err := c.CompareAndSwap(ctx, "a", 0, nil, 0)
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	require.NoError(t, s.SetFaults(Faults{}))
+	_, err = c.Get(ctx, "a")
+	require.ErrorIs(t, err, store.ErrNotFound)
+	require.Equal(t, Counts{Reads: 1, Writes: 1, Watches: 1}, s.Records().Calls)
+}
+
+// TestSilentEstablished guards against a client that stays on connections that
+// went silent while new ones work.
+func TestSilentEstablished(t *testing.T) {
+	s, c := serve(t)
+	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("v"), 0)
+	require.NoError(t, err)
+	require.NoError(t, s.SetFaults(Faults{Silent: control.SilenceEstablished}))
+	short, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	_, err = c.CompareAndSwap(short, "a", 1, []byte("w"), 0)
+	require.ErrorIs(t, err, store.ErrUncertain)
+	e, err := c.Get(ctx, "a")
+	require.NoError(t, err)
+	require.Equal(t, "v", string(e.Value))
+}
+
+// TestLeaseExpiryWakesWatch guards against a watch that misses a lapsed lease.
+func TestLeaseExpiryWakesWatch(t *testing.T) {
+	var passed atomic.Int64
+	began := time.Now()
+	s := New(Options{Now: func() time.Time { return began.Add(time.Duration(passed.Load())) }})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	c := client(t, server.URL, time.Minute)
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.Run(run)
+	id, err := c.GrantLease(ctx, time.Second)
+	require.NoError(t, err)
+	e, err := c.CompareAndSwap(ctx, "a", 0, []byte("v"), id)
+	require.NoError(t, err)
+	passed.Store(int64(time.Second))
+	events, _, err := c.Watch(ctx, "a", e.Revision)
+	require.NoError(t, err)
+	require.True(t, events[0].Deleted)
+}
