Add the checker of stand-in records

Invariants across many workers and upstreams need a judge that is not part of the system. The checker reads the records of the stand-ins and counts tasks that run twice at once, double completions, resumptions beside a running attempt, assignments over capacity, duplicate effects, executions of requests reported as not run, and requests beyond an upstream's limits. Records that are incomplete are a violation themselves. The report also counts what was judged, so that a run without work does not pass unnoticed.

--- /dev/null
+++ b/internal/standin/audit/audit.go
@@ -0,0 +1,206 @@
+// Package audit checks the records of many workers and upstreams against the
+// invariants of the design: single run, single resumption, capacity, at most
+// once, and honest refusals. It is pure.
+package audit
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"vanillalock.example/vanillalock/internal/standin/upstream"
+	"vanillalock.example/vanillalock/internal/standin/worker"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// Kind is a kind of violation.
+type Kind string
+
+// Kinds of violations.
+const (
+	// Overlap is one task running in two places, or twice in one place, at once.
+	Overlap Kind = "overlap"
+	// DoubleCompletion is a task that completed successfully more than once.
+	DoubleCompletion Kind = "double_completion"
+	// DoubleResume is an attempt resumed from a checkpoint while an earlier
+	// attempt still runs.
+	DoubleResume Kind = "double_resume"
+	// OverCapacity is an assignment beyond what a VM can hold.
+	OverCapacity Kind = "over_capacity"
+	// OverLimit is a request beyond an upstream's slots or connections.
+	OverLimit Kind = "over_limit"
+	// DuplicateEffect is a second execution of a non-idempotent request.
+	DuplicateEffect Kind = "duplicate_effect"
+	// FalseRefusal is an execution of a request reported as not run.
+	FalseRefusal Kind = "false_refusal"
+	// Incomplete is a record that cannot be judged, so that no verdict rests
+	// on it.
+	Incomplete Kind = "incomplete"
+)
+
+// Input is what a checker judges. Clocks of the stand-ins must agree, which
+// holds for stand-ins on one machine.
+type Input struct {
+	Workers   []worker.Records
+	Upstreams []upstream.Records
+	// NotRun lists the ids of requests whose final answer to the caller was
+	// not run.
+	NotRun []string
+}
+
+// Violation is one finding.
+type Violation struct {
+	Kind     Kind   `json:"kind"`
+	Subject  string `json:"subject"` // task, key, request or worker
+	Detail   string `json:"detail"`
+	AtUnixNs int64  `json:"at_unix_ns,omitempty"`
+}
+
+// Report is the result of a check. Starts and Executions tell how much was
+// judged: zero violations of nothing prove nothing.
+type Report struct {
+	Violations []Violation  `json:"violations"`
+	Counts     map[Kind]int `json:"counts"`
+	Starts     int          `json:"starts"`
+	Executions int          `json:"executions"`
+}
+
+// OK reports whether there is no violation.
+func (r Report) OK() bool { return len(r.Violations) == 0 }
+
+func (r *Report) add(kind Kind, at int64, subject, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{kind, subject, fmt.Sprintf(format, args...), at})
+	r.Counts[kind]++
+}
+
+// Check judges all records together.
+func Check(in Input) Report {
+	r := &Report{Counts: map[Kind]int{}}
+	checkTasks(r, in.Workers)
+	for _, w := range in.Workers {
+		checkCapacity(r, w)
+	}
+	checkExecutions(r, in)
+	return *r
+}
+
+// interval is the time in which one attempt ran.
+type interval struct {
+	worker     string
+	token      structs.Token
+	resumed    string
+	start, end int64
+	done       bool
+}
+
+// stillRunning is the end of an attempt without an end event.
+const stillRunning = int64(math.MaxInt64)
+
+func checkTasks(r *Report, workers []worker.Records) {
+	tasks := map[structs.TaskID][]interval{}
+	for _, w := range workers {
+		if w.Dropped > 0 {
+			r.add(Incomplete, 0, w.Worker, "%d events are missing", w.Dropped)
+		}
+		collect(r, w, tasks)
+	}
+	for _, id := range sortedTasks(tasks) {
+		checkTask(r, fmt.Sprintf("%s/%d", id.Job, id.Index), tasks[id])
+	}
+}
+
+// collect adds the intervals of one worker. Its events are in order of time.
+func collect(r *Report, w worker.Records, tasks map[structs.TaskID][]interval) {
+	type key struct {
+		task  structs.TaskID
+		token structs.Token
+	}
+	open := map[key]int{}
+	for _, e := range w.Events {
+		k := key{e.Task, e.Token}
+		switch e.Kind {
+		case worker.EventStart:
+			r.Starts++
+			open[k] = len(tasks[e.Task])
+			tasks[e.Task] = append(tasks[e.Task], interval{
+				worker: w.Worker, token: e.Token, resumed: e.ResumedFrom, start: e.AtUnixNs, end: stillRunning,
+			})
+		case worker.EventEnd, worker.EventLapse, worker.EventStop:
+			i, ok := open[k]
+			if !ok {
+				r.add(Incomplete, e.AtUnixNs, w.Worker, "end of %v %v without a start", e.Task, e.Token)
+				continue
+			}
+			delete(open, k)
+			tasks[e.Task][i].end = e.AtUnixNs
+			tasks[e.Task][i].done = e.State == "done"
+		}
+	}
+}
+
+// checkTask compares every pair of attempts, as tasks have few of them.
+func checkTask(r *Report, subject string, runs []interval) {
+	sort.SliceStable(runs, func(i, j int) bool { return runs[i].start < runs[j].start })
+	completions := 0
+	for i, a := range runs {
+		if a.done {
+			if completions++; completions > 1 {
+				r.add(DoubleCompletion, a.end, subject, "completion %d, on %s with %v", completions, a.worker, a.token)
+			}
+		}
+		for _, b := range runs[i+1:] {
+			if b.start >= a.end {
+				continue
+			}
+			r.add(Overlap, b.start, subject, "starts on %s with %v while it runs on %s with %v", b.worker, b.token, a.worker, a.token)
+			if b.resumed != "" {
+				r.add(DoubleResume, b.start, subject, "resumes from %s while %v runs", b.resumed, a.token)
+			}
+		}
+	}
+}
+
+func sortedTasks(tasks map[structs.TaskID][]interval) []structs.TaskID {
+	out := make([]structs.TaskID, 0, len(tasks))
+	for id := range tasks {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Job != out[j].Job {
+			return out[i].Job < out[j].Job
+		}
+		return out[i].Index < out[j].Index
+	})
+	return out
+}
+
+// checkCapacity adds up the attempts itself instead of trusting the worker's
+// own sum, and takes over the assignments that the worker refused.
+func checkCapacity(r *Report, w worker.Records) {
+	type key struct {
+		task  structs.TaskID
+		token structs.Token
+	}
+	held := map[key]structs.Resources{}
+	var sum structs.Resources
+	for _, e := range w.Events {
+		k := key{e.Task, e.Token}
+		switch e.Kind {
+		case worker.EventStart:
+			held[k] = e.Resources
+			sum = sum.Add(e.Resources)
+			if !sum.Fits(w.Capacity) {
+				r.add(OverCapacity, e.AtUnixNs, w.Worker, "%+v reserved of %+v", sum, w.Capacity)
+			}
+		case worker.EventEnd, worker.EventLapse, worker.EventStop:
+			sum = sum.Sub(held[k])
+			delete(held, k)
+		case worker.EventOverCapacity:
+			if sum.Add(e.Resources).Fits(w.Capacity) {
+				r.add(Incomplete, e.AtUnixNs, w.Worker, "the worker refused %+v, which fits", e.Resources)
+				continue
+			}
+			r.add(OverCapacity, e.AtUnixNs, w.Worker, "%+v assigned beside %+v", e.Resources, sum)
+		}
+	}
+}
