Add the scheduler, its plugins and the team quotas

Cause: the entry needs placement proposals with filters, scores and reservations as plugins. Change: scheduler keeps filter and score results per VM and shape and computes them again for changed VMs only; teams are ordered by dominant share; tasks that wait for fragmented room get room held; restarts after a loss are rate bounded.

--- /dev/null
+++ b/internal/scheduler/plugins/fragmentation/fragmentation.go
@@ -0,0 +1,34 @@
+// Package fragmentation prefers VMs on which the task leaves little unusable room.
+package fragmentation
+
+import (
+	"vanillalock.example/vanillalock/internal/scheduler"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// Plugin is a Score.
+type Plugin struct{}
+
+// Name implements scheduler.Score.
+func (Plugin) Name() string { return "fragmentation" }
+
+// Score is higher the less remains free, and lower the more the shares of free
+// processors and free memory differ: what remains of one cannot be used without
+// the other. The result is in [-1, 0].
+func (Plugin) Score(n *scheduler.Node, t *scheduler.Task) float64 {
+	left := n.Free().Sub(t.Size)
+	cpu, mem := share(left.MilliCPU, n.Capacity.MilliCPU), share(left.MemoryMB, n.Capacity.MemoryMB)
+	uneven := max(cpu, mem) - min(cpu, mem)
+	if t.QoS == structs.LatencyCritical {
+		// Urgent tasks spread over the VMs: they need headroom in a load swing.
+		return -(1 - (cpu+mem)/2) / 2
+	}
+	return -(0.5*(cpu+mem)/2 + 0.5*uneven)
+}
+
+func share(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/scheduler/plugins/plugins.go
@@ -0,0 +1,28 @@
+// Package plugins assembles the plugins of the scheduler.
+package plugins
+
+import (
+	"vanillalock.example/vanillalock/internal/scheduler"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/accelerators"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/capacity"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/fragmentation"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/interference"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/quarantine"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/spread"
+)
+
+// SlowdownLimit is the logarithm of the highest predicted slowdown of an urgent
+// task that batch tasks may cause: 20%, below the level at which package
+// interference starts to react.
+const SlowdownLimit = 0.182
+
+// Default returns the plugins of a scheduler that uses the learned model.
+func Default(model interference.Model) scheduler.Plugins {
+	inter := &interference.Plugin{Model: model, Limit: SlowdownLimit}
+	sp := spread.New()
+	return scheduler.Plugins{
+		Filters:  []scheduler.Filter{quarantine.Plugin{}, capacity.Plugin{}, accelerators.Plugin{}, inter},
+		Scores:   []scheduler.Score{inter, fragmentation.Plugin{}, accelerators.Plugin{}, sp},
+		Reserves: []scheduler.Reserve{capacity.Plugin{}, sp},
+	}
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// queue holds the waiting tasks: per class, per team, per shape in order of
+// arrival. A shape without room does not hold up the others.
+type queue struct {
+	byID  map[structs.TaskID]*Task
+	class [2]map[string]*teamQueue // urgent, batch
+	names [2][]string
+}
+
+type teamQueue struct {
+	name   string
+	shapes []*shapeQueue
+}
+
+type shapeQueue struct {
+	key   shapeKey
+	tasks []*Task
+	head  int
+}
+
+// shapeKey separates restarts after a loss, which are rate bounded, from other tasks.
+type shapeKey struct {
+	Shape
+	recovered bool
+}
+
+func (q *queue) init() {
+	q.byID = map[structs.TaskID]*Task{}
+	q.class = [2]map[string]*teamQueue{{}, {}}
+}
+
+func classOf(q structs.QoS) int {
+	if q == structs.LatencyCritical {
+		return 0
+	}
+	return 1
+}
+
+func (q *queue) add(t *Task) {
+	c := classOf(t.QoS)
+	tq := q.class[c][t.Team]
+	if tq == nil {
+		tq = &teamQueue{name: t.Team}
+		q.class[c][t.Team] = tq
+		i, _ := slices.BinarySearch(q.names[c], t.Team)
+		q.names[c] = slices.Insert(q.names[c], i, t.Team)
+	}
+	key := shapeKey{t.Shape, t.Recovered}
+	i := slices.IndexFunc(tq.shapes, func(sq *shapeQueue) bool { return sq.key == key })
+	if i < 0 {
+		i = len(tq.shapes)
+		tq.shapes = append(tq.shapes, &shapeQueue{key: key})
+	}
+	tq.shapes[i].tasks = append(tq.shapes[i].tasks, t)
+	q.byID[t.ID] = t
+}
+
+// first returns the oldest waiting task, dropping those withdrawn or placed.
+func (q *queue) first(sq *shapeQueue) *Task {
+	for sq.head < len(sq.tasks) {
+		if t := sq.tasks[sq.head]; q.byID[t.ID] == t {
+			return t
+		}
+		sq.tasks[sq.head] = nil
+		sq.head++
+	}
+	sq.tasks, sq.head = sq.tasks[:0], 0
+	return nil
+}
+
+// prune removes the empty queues of shapes.
+func (q *queue) prune() {
+	for c := range q.class {
+		for _, tq := range q.class[c] {
+			tq.shapes = slices.DeleteFunc(tq.shapes, func(sq *shapeQueue) bool { return q.first(sq) == nil })
+			for _, sq := range tq.shapes {
+				if sq.head > 1024 && sq.head > len(sq.tasks)/2 {
+					sq.tasks, sq.head = slices.Clone(sq.tasks[sq.head:]), 0
+				}
+			}
+		}
+	}
+}
+
+// Add queues a task. A task that is queued or placed already is ignored.
+func (s *Scheduler) Add(t Task, now time.Time) bool {
+	if s.queue.byID[t.ID] != nil || s.placed[t.ID] != nil {
+		return false
+	}
+	t.Enqueued, t.node = now, nil
+	s.queue.add(&t)
+	return true
+}
+
+// Withdraw removes a waiting task.
+func (s *Scheduler) Withdraw(id structs.TaskID) {
+	s.dropHold(id)
+	delete(s.queue.byID, id)
+}
+
+// candidate returns the next task to try in a class: of the team with the lowest
+// dominant share, the oldest task whose shape may have room. 36 teams with few
+// shapes each are searched without an index.
+func (s *Scheduler) candidate(c int, skip map[*shapeQueue]bool, recovery bool) (best *Task, from *shapeQueue) {
+	bestShare := 0.0
+	for _, name := range s.queue.names[c] {
+		share := s.quota.Share(name)
+		if best != nil && share >= bestShare {
+			continue
+		}
+		if t, sq := s.oldest(s.queue.class[c][name], skip, recovery); t != nil {
+			best, from, bestShare = t, sq, share
+		}
+	}
+	return best, from
+}
+
+func (s *Scheduler) oldest(tq *teamQueue, skip map[*shapeQueue]bool, recovery bool) (best *Task, from *shapeQueue) {
+	for _, sq := range tq.shapes {
+		if skip[sq] || (sq.key.recovered && !recovery) {
+			continue
+		}
+		t := s.queue.first(sq)
+		if t == nil || (best != nil && !t.Enqueued.Before(best.Enqueued)) {
+			continue
+		}
+		if sh := s.shapes[sq.key.Shape]; sh != nil && sh.blocked == s.freed {
+			continue
+		}
+		if !s.quota.Fits(tq.name, t.Size) && s.quota.EverFits(tq.name, t.Size) {
+			continue
+		}
+		best, from = t, sq
+	}
+	return best, from
+}
