--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -20,8 +20,8 @@
 	s.queue.prune()
 	var out []Decision
 	for c := range s.queue.class {
-		for _, name := range s.queue.names[c] {
-			for _, sq := range s.queue.class[c][name].shapes {
+		for _, tq := range s.queue.class[c] {
+			for _, sq := range tq.shapes {
 				if d, ok := s.age(sq, now); ok {
 					out = append(out, d)
 				}
--- a/internal/scheduler/plugins/plugins.go
+++ b/internal/scheduler/plugins/plugins.go
@@ -16,13 +16,15 @@
 // interference starts to react.
 const SlowdownLimit = 0.182
 
-// Default returns the plugins of a scheduler that uses the learned model.
-func Default(model interference.Model) scheduler.Plugins {
-	inter := &interference.Plugin{Model: model, Limit: SlowdownLimit}
+// Default returns the plugins of a scheduler that uses the learned model. Call
+// Reset of the second result, and then Invalidate of the scheduler, after the
+// model has changed.
+func Default(model interference.Model) (scheduler.Plugins, *interference.Plugin) {
+	inter := interference.New(model, SlowdownLimit)
 	sp := spread.New()
 	return scheduler.Plugins{
 		Filters:  []scheduler.Filter{quarantine.Plugin{}, capacity.Plugin{}, accelerators.Plugin{}, inter},
 		Scores:   []scheduler.Score{inter, fragmentation.Plugin{}, accelerators.Plugin{}, sp},
 		Reserves: []scheduler.Reserve{capacity.Plugin{}, sp},
-	}
+	}, inter
 }
--- a/internal/scheduler/plugins/spread/spread.go
+++ b/internal/scheduler/plugins/spread/spread.go
@@ -14,6 +14,9 @@
 // Plugin is a job-dependent Score and a Reserve that counts the placements.
 type Plugin struct {
 	jobs map[string]*counts
+
+	lastJob string // of the last Applies; its counts save a lookup per VM
+	last    *counts
 }
 
 type counts struct {
@@ -28,12 +31,18 @@
 // Name implements scheduler.Score.
 func (*Plugin) Name() string { return "spread" }
 
-// JobDependent implements scheduler.JobDependent.
-func (*Plugin) JobDependent() {}
+// Applies implements scheduler.JobDependent.
+func (p *Plugin) Applies(t *scheduler.Task) bool {
+	p.lastJob, p.last = t.ID.Job, p.jobs[t.ID.Job]
+	return p.last != nil
+}
 
 // Score is lower the more of the job is in the failure domain and rack of the VM.
 func (p *Plugin) Score(n *scheduler.Node, t *scheduler.Task) float64 {
-	c := p.jobs[t.ID.Job]
+	c := p.last
+	if t.ID.Job != p.lastJob {
+		c = p.jobs[t.ID.Job]
+	}
 	if c == nil {
 		return 0
 	}
@@ -47,6 +56,7 @@
 	if c == nil {
 		c = &counts{}
 		p.jobs[t.ID.Job] = c
+		p.lastJob = ""
 	}
 	c.total++
 	c.racks, c.domains = add(c.racks, n.RackIndex, 1), add(c.domains, n.DomainIndex, 1)
@@ -61,6 +71,7 @@
 	}
 	if c.total--; c.total == 0 {
 		delete(p.jobs, t.ID.Job)
+		p.lastJob = ""
 		return
 	}
 	c.racks, c.domains = add(c.racks, n.RackIndex, -1), add(c.domains, n.DomainIndex, -1)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/structs"
@@ -11,8 +12,7 @@
 // arrival. A shape without room does not hold up the others.
 type queue struct {
 	byID  map[structs.TaskID]*Task
-	class [2]map[string]*teamQueue // urgent, batch
-	names [2][]string
+	class [2][]*teamQueue // urgent, batch; by name of the team
 }
 
 type teamQueue struct {
@@ -34,7 +34,6 @@
 
 func (q *queue) init() {
 	q.byID = map[structs.TaskID]*Task{}
-	q.class = [2]map[string]*teamQueue{{}, {}}
 }
 
 func classOf(q structs.QoS) int {
@@ -46,13 +45,13 @@
 
 func (q *queue) add(t *Task) {
 	c := classOf(t.QoS)
-	tq := q.class[c][t.Team]
-	if tq == nil {
-		tq = &teamQueue{name: t.Team}
-		q.class[c][t.Team] = tq
-		i, _ := slices.BinarySearch(q.names[c], t.Team)
-		q.names[c] = slices.Insert(q.names[c], i, t.Team)
+	at, found := slices.BinarySearchFunc(q.class[c], t.Team, func(tq *teamQueue, name string) int {
+		return strings.Compare(tq.name, name)
+	})
+	if !found {
+		q.class[c] = slices.Insert(q.class[c], at, &teamQueue{name: t.Team})
 	}
+	tq := q.class[c][at]
 	key := shapeKey{t.Shape, t.Recovered}
 	i := slices.IndexFunc(tq.shapes, func(sq *shapeQueue) bool { return sq.key == key })
 	if i < 0 {
@@ -77,10 +76,15 @@
 }
 
 // prune removes the empty queues of shapes.
+func (tq *teamQueue) prune(q *queue) {
+	tq.shapes = slices.DeleteFunc(tq.shapes, func(sq *shapeQueue) bool { return q.first(sq) == nil })
+}
+
+// prune removes empty queues and the tasks that have left long queues.
 func (q *queue) prune() {
 	for c := range q.class {
 		for _, tq := range q.class[c] {
-			tq.shapes = slices.DeleteFunc(tq.shapes, func(sq *shapeQueue) bool { return q.first(sq) == nil })
+			tq.prune(q)
 			for _, sq := range tq.shapes {
 				if sq.head > 1024 && sq.head > len(sq.tasks)/2 {
 					sq.tasks, sq.head = slices.Clone(sq.tasks[sq.head:]), 0
@@ -95,7 +99,7 @@
 	if s.queue.byID[t.ID] != nil || s.placed[t.ID] != nil {
 		return false
 	}
-	t.Enqueued, t.node = now, nil
+	t.Enqueued, t.node, t.TemplateIndex = now, nil, number(s.names, t.Template)
 	s.queue.add(&t)
 	return true
 }
@@ -111,12 +115,15 @@
 // shapes each are searched without an index.
 func (s *Scheduler) candidate(c int, skip map[*shapeQueue]bool, recovery bool) (best *Task, from *shapeQueue) {
 	bestShare := 0.0
-	for _, name := range s.queue.names[c] {
-		share := s.quota.Share(name)
+	for _, tq := range s.queue.class[c] {
+		if len(tq.shapes) == 0 {
+			continue
+		}
+		share := s.quota.Share(tq.name)
 		if best != nil && share >= bestShare {
 			continue
 		}
-		if t, sq := s.oldest(s.queue.class[c][name], skip, recovery); t != nil {
+		if t, sq := s.oldest(tq, skip, recovery); t != nil {
 			best, from, bestShare = t, sq, share
 		}
 	}
@@ -124,11 +131,13 @@
 }
 
 func (s *Scheduler) oldest(tq *teamQueue, skip map[*shapeQueue]bool, recovery bool) (best *Task, from *shapeQueue) {
+	empty := false
 	for _, sq := range tq.shapes {
 		if skip[sq] || (sq.key.recovered && !recovery) {
 			continue
 		}
 		t := s.queue.first(sq)
+		empty = empty || t == nil
 		if t == nil || (best != nil && !t.Enqueued.Before(best.Enqueued)) {
 			continue
 		}
@@ -140,5 +149,8 @@
 		}
 		best, from = t, sq
 	}
+	if empty {
+		tq.prune(&s.queue)
+	}
 	return best, from
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	byID    map[string]*Node
 	racks   map[string]int
 	domains map[string]int
+	names   map[string]int             // of templates
 	types   map[structs.Resources]bool // capacities of all VMs seen
 	settled bool
 
@@ -89,7 +90,7 @@
 // New returns a scheduler without VMs.
 func New(cfg Config, plugins Plugins, ledger *quota.Ledger) *Scheduler {
 	s := &Scheduler{cfg: cfg.withDefaults(), plugins: plugins, quota: ledger, byID: map[string]*Node{},
-		racks: map[string]int{}, domains: map[string]int{}, types: map[structs.Resources]bool{},
+		racks: map[string]int{}, domains: map[string]int{}, names: map[string]int{}, types: map[structs.Resources]bool{},
 		placed: map[structs.TaskID]*Task{}, shapes: map[Shape]*shape{}, held: map[structs.TaskID]*Node{}, freed: 1, epoch: 1}
 	s.queue.init()
 	for _, p := range plugins.Scores {
@@ -129,7 +130,7 @@
 	}
 	s.refresh(sh, t)
 	best, bestScore := -1, math.Inf(-1)
-	if len(s.perJob) == 0 {
+	if !s.jobDependent(t) {
 		for i, v := range sh.scores {
 			if v > bestScore {
 				best, bestScore = i, v
@@ -145,6 +146,15 @@
 	return s.nodes[best]
 }
 
+func (s *Scheduler) jobDependent(t *Task) bool {
+	for _, p := range s.perJob {
+		if p.(JobDependent).Applies(t) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) placePerJob(sh *shape, t *Task) int {
 	best, bestScore := -1, math.Inf(-1)
 	for i, v := range sh.scores {
@@ -247,7 +257,7 @@
 	if n == nil || s.placed[t.ID] != nil {
 		return false
 	}
-	t.node = n
+	t.node, t.TemplateIndex = n, number(s.names, t.Template)
 	n.Used = n.Used.Add(t.Size)
 	n.Tasks[t.ID] = &t
 	n.count(&t, 1)
@@ -280,12 +290,12 @@
 
 func (n *Node) count(t *Task, d int) {
 	for i := range n.Mix {
-		if n.Mix[i].Template == t.Template && n.Mix[i].QoS == t.QoS {
+		if n.Mix[i].TemplateIndex == t.TemplateIndex && n.Mix[i].QoS == t.QoS {
 			if n.Mix[i].Count += d; n.Mix[i].Count == 0 {
 				n.Mix = append(n.Mix[:i], n.Mix[i+1:]...)
 			}
 			return
 		}
 	}
-	n.Mix = append(n.Mix, TemplateCount{t.Template, t.QoS, d})
+	n.Mix = append(n.Mix, TemplateCount{t.Template, t.TemplateIndex, t.QoS, d})
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -35,6 +35,11 @@
 	return float64((int(a[len(a)-1])*7+int(b[len(b)-1])*3)%5) * 0.02
 }
 
+func defaults() scheduler.Plugins {
+	p, _ := plugins.Default(pairs{})
+	return p
+}
+
 var epoch = time.Unix(1_800_000_000, 0)
 
 // naive is an exact scheduler without caches, queues or indexes: it evaluates
@@ -126,10 +131,10 @@
 		counts[scheduler.TemplateCount{Template: r.Template, QoS: r.QoS}]++
 	}
 	n.Mix = nil
-	for _, name := range []string{"t0", "t1", "t2", "t3", "t4"} {
+	for i, name := range []string{"t0", "t1", "t2", "t3", "t4"} {
 		for _, q := range []structs.QoS{structs.LatencyCritical, structs.Batch} {
 			if c := counts[scheduler.TemplateCount{Template: name, QoS: q}]; c > 0 {
-				n.Mix = append(n.Mix, scheduler.TemplateCount{Template: name, QoS: q, Count: c})
+				n.Mix = append(n.Mix, scheduler.TemplateCount{Template: name, TemplateIndex: i, QoS: q, Count: c})
 			}
 		}
 	}
@@ -156,8 +161,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := structs.Resources{MilliCPU: 60000}
 		ledger := quota.New()
-		s := scheduler.New(scheduler.Config{}, plugins.Default(pairs{}), ledger)
-		v := &naive{plugins: plugins.Default(pairs{}), teams: map[string]structs.Resources{}, quota: limit}
+		s := scheduler.New(scheduler.Config{}, defaults(), ledger)
+		v := &naive{plugins: defaults(), teams: map[string]structs.Resources{}, quota: limit}
 		for i := range 3 {
 			ledger.SetTeam(fmt.Sprintf("team%d", i), limit, 1)
 		}
@@ -204,7 +209,7 @@
 					now = now.Add(time.Millisecond)
 					task := scheduler.Task{Shape: shape, ID: structs.TaskID{Job: fmt.Sprint(jobs), Index: i}, Team: fmt.Sprintf("team%d", jobs%3)}
 					s.Add(task, now)
-					task.Enqueued = now
+					task.Enqueued, task.TemplateIndex = now, int(shape.Template[1]-'0')
 					v.waiting = append(v.waiting, task)
 				}
 			},
@@ -232,7 +237,7 @@
 // large returns a scheduler at the future scale: 650 VMs and 15,100 running tasks
 // of 36 teams and 40 templates.
 func large(tb testing.TB) (*scheduler.Scheduler, []structs.TaskID, *rand.Rand) {
-	s := scheduler.New(scheduler.Config{}, plugins.Default(pairs{}), quota.New())
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
 	for i := range 650 {
 		s.SetNode(vm(i))
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -38,7 +38,9 @@
 	Enqueued  time.Time
 
 	Started time.Time // when it was placed
-	node    *Node
+	// TemplateIndex numbers the template within this scheduler; Add sets it.
+	TemplateIndex int
+	node          *Node
 }
 
 // Node returns the VM on which the task is placed, or nil.
@@ -46,9 +48,10 @@
 
 // TemplateCount is the number of tasks of a template on a VM.
 type TemplateCount struct {
-	Template string
-	QoS      structs.QoS
-	Count    int
+	Template      string
+	TemplateIndex int
+	QoS           structs.QoS
+	Count         int
 }
 
 // Flags are conditions of a VM under which it takes no or fewer tasks.
@@ -78,6 +81,9 @@
 // Free returns what is not reserved.
 func (n *Node) Free() structs.Resources { return n.Capacity.Sub(n.Used).Sub(n.Foreign) }
 
+// Version rises with each change of the VM or of the tasks on it.
+func (n *Node) Version() uint32 { return n.version }
+
 // Holder returns the waiting task for which room on the VM is held, or nil.
 func (n *Node) Holder() *Task { return n.holder }
 
@@ -98,9 +104,10 @@
 }
 
 // JobDependent marks a Score that looks at the job of the task. It is evaluated
-// for each decision and must be cheap.
+// for each decision and must be cheap. Applies reports whether it can be anything
+// but zero for the task.
 type JobDependent interface {
-	JobDependent()
+	Applies(t *Task) bool
 }
 
 // Reserve accounts for a placement, or refuses it with an error. Release undoes it.
