--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -18,8 +18,10 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	m.Run()
 }
