--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -59,7 +59,8 @@
 	Expected time.Duration
 	Measured bool
 
-	probe bool // accepted although the learned run time exceeds the deadline
+	probe   bool          // accepted although the learned run time exceeds the deadline
+	maxCost time.Duration // bound of the cost; 0: none
 }
 
 // Result describes the end of a dispatched request.
@@ -149,6 +150,9 @@
 	}
 	take(now, customer)
 	take(now, team)
+	if !it.Deadline.IsZero() {
+		it.maxCost = it.Deadline.Sub(now)
+	}
 	q.push(it, weight)
 	return rescode.OK, victim
 }
--- /dev/null
+++ b/internal/request/admission/admission_test.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"flag"
+	"math"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalock.example/vanillalock/internal/rescode"
+)
+
+// A fixed seed gives the same verdict in every run.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+// naiveFair assigns each item a start tag on arrival and searches the smallest.
+type naiveFair struct {
+	items   []naiveItem
+	finish  map[string]float64
+	virtual float64
+}
+
+type naiveItem struct {
+	it    Item
+	start float64
+}
+
+func (n *naiveFair) push(it Item, weight float64) {
+	start := max(n.virtual, n.finish[it.Customer])
+	n.finish[it.Customer] = start + float64(cost(it))/weight
+	n.items = append(n.items, naiveItem{it, start})
+}
+
+func (n *naiveFair) pop() Item {
+	best := 0
+	for i, x := range n.items {
+		b := n.items[best]
+		if x.start < b.start || (x.start == b.start && x.it.Customer < b.it.Customer) {
+			best = i
+		}
+	}
+	x := n.items[best]
+	n.items = slices.Delete(n.items, best, best+1)
+	n.virtual = x.start
+	if len(n.items) == 0 {
+		n.virtual, n.finish = 0, map[string]float64{}
+	}
+	return x.it
+}
+
+// Guards against an order that favours a customer with more or larger requests.
+func TestFairQueueAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, ref := newFairQueue(), &naiveFair{finish: map[string]float64{}}
+		for i := range 300 {
+			if rapid.IntRange(0, 9).Draw(t, "op") < 5 {
+				c := rapid.IntRange(0, 4).Draw(t, "customer")
+				it := Item{ID: strconv.Itoa(i), Customer: strconv.Itoa(c), Expected: time.Duration(rapid.IntRange(1, 64).Draw(t, "cost")) * time.Millisecond}
+				q.push(it, math.Exp2(float64(c)))
+				ref.push(it, math.Exp2(float64(c)))
+			} else if f := q.head(); f != nil {
+				require.Equal(t, ref.pop().ID, q.pop(f, true).ID)
+			}
+			require.Equal(t, len(ref.items), q.length)
+		}
+	})
+}
+
+// Guards against a customer that floods the queue and displaces the others.
+func TestFloodTakesOnlyItsShare(t *testing.T) {
+	cfg := DefaultConfig(8, 1)
+	cfg.MaxUrgent = 64
+	c, served := New(cfg), map[string]int{}
+	for i := range 4000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		for k := range 10 { // ten times the requests of the other customer
+			c.Submit(now, Item{ID: strconv.Itoa(i*100 + k), Customer: "flood", Urgent: true, Expected: 10 * time.Millisecond})
+		}
+		c.Submit(now, Item{ID: strconv.Itoa(i*100 + 99), Customer: "small", Urgent: true, Expected: 10 * time.Millisecond})
+		if it, _, ok := c.Next(now); ok {
+			served[it.Customer]++
+			c.Done(now, Result{Ran: true, Run: 10 * time.Millisecond})
+		}
+	}
+	assert.InDelta(t, served["flood"], served["small"], 40)
+}
+
+// Guards against requests that wait although they cannot be in time, that are
+// dispatched late, and against batch before urgent.
+func TestDeadlinesAndPriority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := New(DefaultConfig(8, 1)), epoch
+		queued, running := map[string]Item{}, 0
+		for i := range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			it := Item{
+				ID: strconv.Itoa(i), Customer: strconv.Itoa(i % 3), Urgent: rapid.Bool().Draw(t, "urgent"), Measured: true,
+				Expected: time.Duration(rapid.IntRange(1, 100).Draw(t, "run")) * time.Millisecond,
+			}
+			it.Deadline = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "deadline")) * time.Millisecond)
+			wait := c.Wait(it)
+			code, _ := c.Submit(now, it)
+			if code == rescode.OK {
+				queued[it.ID] = it
+			}
+			if it.Expected < it.Deadline.Sub(now) {
+				require.Equal(t, wait+it.Expected < it.Deadline.Sub(now), code == rescode.OK)
+			}
+			for {
+				it, expired, ok := c.Next(now)
+				for _, e := range expired {
+					require.Contains(t, queued, e.ID)
+					delete(queued, e.ID)
+				}
+				if !ok {
+					break
+				}
+				delete(queued, it.ID)
+				running++
+				require.True(t, it.probe || now.Add(it.Expected).Before(it.Deadline), "dispatched too late")
+				for _, other := range queued {
+					require.False(t, other.Urgent && !it.Urgent, "batch before urgent")
+				}
+			}
+			urgent, batch, inFlight, limit := c.Load()
+			require.Equal(t, len(queued), urgent+batch)
+			require.Equal(t, running, inFlight)
+			require.LessOrEqual(t, inFlight, limit+8) // the limit may have shrunk since
+			if running > 0 && rapid.Bool().Draw(t, "done") {
+				running--
+				c.Done(now, Result{Ran: true, Run: 20 * time.Millisecond, Wait: time.Duration(rapid.IntRange(0, 60).Draw(t, "wait")) * time.Millisecond})
+			}
+		}
+	})
+}
+
+// Guards against a quota that leaks, and against charging a refused request.
+func TestQuotaOfCustomerAndTeam(t *testing.T) {
+	c := New(DefaultConfig(8, 1))
+	c.SetCustomer("a", 1, 100)
+	c.SetTeam("park", 50)
+	accepted := 0
+	for i := range 10_000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		late := Item{Customer: "a", Team: "park", Deadline: now}
+		code, _ := c.Submit(now, late)
+		require.NotEqual(t, rescode.OK, code)
+		if code, _ = c.Submit(now, Item{ID: strconv.Itoa(i), Customer: "a", Team: "park"}); code == rescode.OK {
+			accepted++
+			c.Next(now)
+			c.Done(now, Result{})
+		} else {
+			require.Equal(t, rescode.QuotaExceeded, code)
+		}
+	}
+	assert.InDelta(t, 50+50*10, accepted, 2, "one burst and ten seconds of the team's rate")
+}
+
+// Guards against a learned run time that refuses a customer for ever.
+func TestProbesCorrectAWrongEstimate(t *testing.T) {
+	c, accepted := New(DefaultConfig(8, 1)), 0
+	for range 320 {
+		if code, _ := c.Submit(epoch, Item{Customer: "a", Deadline: epoch.Add(time.Second), Expected: time.Hour, Measured: true}); code == rescode.OK {
+			accepted++
+			_, _, ok := c.Next(epoch)
+			assert.True(t, ok, "a probe is dispatched")
+			c.Done(epoch, Result{Ran: true, Run: time.Millisecond})
+		}
+	}
+	assert.Equal(t, 10, accepted)
+}
+
+func BenchmarkSubmitNextDone(b *testing.B) {
+	c := New(DefaultConfig(88, 3))
+	for i := 0; b.Loop(); i++ {
+		it := Item{ID: "x", Customer: strconv.Itoa(i % 500), Urgent: true, Expected: time.Millisecond, Deadline: epoch.Add(time.Hour)}
+		c.Submit(epoch, it)
+		c.Next(epoch)
+		c.Done(epoch, Result{Ran: true, Run: time.Millisecond})
+	}
+}
--- a/internal/request/admission/fair.go
+++ b/internal/request/admission/fair.go
@@ -37,7 +37,15 @@
 
 func newFairQueue() *fairQueue { return &fairQueue{flows: make(map[string]*flow)} }
 
-func cost(it Item) time.Duration { return max(it.Expected, minCost) }
+// cost is the expected run time. It is capped at the time that was left until
+// the deadline: a wrong estimate of hours must not stop the queue behind it.
+func cost(it Item) time.Duration {
+	c := it.Expected
+	if it.maxCost > 0 {
+		c = min(c, it.maxCost)
+	}
+	return max(c, minCost)
+}
 
 func (q *fairQueue) push(it Item, weight float64) {
 	f := q.flows[it.Customer]
--- a/internal/request/dedup/dedup_test.go
+++ b/internal/request/dedup/dedup_test.go
@@ -138,6 +138,17 @@
 	assert.False(t, r.Start("late"))
 }
 
+// Guards against one stamp from a fast clock that, once forgotten, raises the
+// floor above all other requests.
+func TestStampFromTheFutureIsNotRecorded(t *testing.T) {
+	r := New(DefaultConfig(), epoch)
+	now := epoch.Add(time.Minute)
+	v := r.Arrive(now, "a", now.Add(time.Hour), 0)
+	assert.False(t, v.Accepted)
+	assert.Equal(t, rescode.Unknown, v.Answer.Outcome)
+	assert.False(t, r.Floor().After(now))
+}
+
 func BenchmarkArriveStartFinish(b *testing.B) {
 	r := New(DefaultConfig(), epoch)
 	for i := 0; b.Loop(); i++ {
--- a/internal/request/outlier/outlier.go
+++ b/internal/request/outlier/outlier.go
@@ -159,7 +159,7 @@
 	}
 	u.current.failed++
 	u.consecutive++
-	if !d.failing(u) || !d.roomToWithhold() || d.commonCause() {
+	if !d.failing(u) || !d.roomToWithhold() {
 		return Change{}, false
 	}
 	d.withheld++
@@ -245,16 +245,3 @@
 }
 
 func (d *Detector) roomToWithhold() bool { return d.withheld+1 <= len(d.upstreams)/3 }
-
-// commonCause reports whether more than half of the upstreams fail: the cause
-// then lies in the requests or the network, and ejection would only remove
-// capacity.
-func (d *Detector) commonCause() bool {
-	failing := d.withheld
-	for _, u := range d.upstreams {
-		if u.state == Healthy && d.failing(u) {
-			failing++
-		}
-	}
-	return 2*failing > len(d.upstreams)
-}
--- a/internal/request/slots/slots.go
+++ b/internal/request/slots/slots.go
@@ -240,7 +240,8 @@
 	return class != int(structs.SizeLong) || s.busy[structs.SizeLong] < s.cfg.MaxLong
 }
 
-// oldest returns the queue of a class with the longest waiting head, or nil.
+// oldest returns the queue of a class with the longest waiting head, or nil. Of
+// equal waits the urgent one is first.
 func (s *Scheduler) oldest(class int) *fifo {
 	a, b := &s.queues[class][0], &s.queues[class][1]
 	switch {
