--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -23,6 +23,8 @@
 	maxWatchWait = time.Minute
 	// minLeaseTTL is the shortest lease granted.
 	minLeaseTTL = 10 * time.Millisecond
+	// maxLeaseTTL is the longest lease granted. Claims have leases of 24 h.
+	maxLeaseTTL = 30 * 24 * time.Hour
 	// expiryInterval is the granularity with which watches see lapsed leases.
 	expiryInterval = 100 * time.Millisecond
 )
--- a/internal/standin/kv/routes.go
+++ b/internal/standin/kv/routes.go
@@ -62,15 +62,14 @@
 }
 
 func (s *Server) grant(ctx context.Context, c store.Call) (store.Reply, error) {
-	ttl := max(time.Duration(c.TTLMs)*time.Millisecond, minLeaseTTL)
+	ttl := max(milliseconds(c.TTLMs, maxLeaseTTL), minLeaseTTL)
 	id, err := s.store.GrantLease(ctx, ttl)
 	return store.Reply{Lease: id}, err
 }
 
 // watch waits for the time that the call asks for, or until the faults change.
 func (s *Server) watch(ctx context.Context, c store.Call) (store.Reply, error) {
-	wait := min(max(time.Duration(c.WaitMs)*time.Millisecond, 0), maxWatchWait)
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(c.WaitMs, maxWatchWait))
 	defer cancel()
 	outage := s.outageContext()
 	defer context.AfterFunc(outage, cancel)()
@@ -80,3 +79,8 @@
 	}
 	return store.Reply{Events: events, Revision: revision}, err
 }
+
+// milliseconds converts ms, limited to the range from 0 to limit.
+func milliseconds(ms int64, limit time.Duration) time.Duration {
+	return time.Duration(min(max(ms, 0), limit.Milliseconds())) * time.Millisecond
+}
--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -78,8 +78,8 @@
 		return api.ErrStaleToken
 	}
 	progress, ok := checkpointProgress(spec.Checkpoint)
-	if !ok {
-		return fmt.Errorf("%w: unknown checkpoint %q", api.ErrUnavailable, spec.Checkpoint)
+	if !ok || spec.Resources.Negative() || spec.DurationMs < 0 || spec.DurationMs > maxWorkMs {
+		return fmt.Errorf("%w: unknown checkpoint %q, or amounts out of range", api.ErrUnavailable, spec.Checkpoint)
 	}
 	old := s.vm.attempts[id]
 	if old != nil && old.spec.Token == spec.Token {
@@ -93,7 +93,7 @@
 	if old != nil && old.state == api.Running {
 		s.end(old, s.vm.at, api.Stopped, EventStop, "superseded by a higher token")
 	}
-	t := &attempt{spec: spec, state: api.Running, share: 1, progress: progress, lease: s.vm.at + lease, checkpoint: spec.Checkpoint}
+	t := &attempt{spec: spec, state: api.Running, share: 1, progress: progress, lease: s.vm.at + min(lease, maxLease), checkpoint: spec.Checkpoint}
 	return s.start(t)
 }
 
@@ -103,7 +103,8 @@
 }
 
 func (s *Server) start(t *attempt) error {
-	if !s.vm.reserved().Add(t.spec.Resources).Fits(s.options.Capacity) {
+	// The first comparison keeps the sum from overflowing.
+	if c := s.options.Capacity; !t.spec.Resources.Fits(c) || !s.vm.reserved().Add(t.spec.Resources).Fits(c) {
 		s.records.OverCapacity++
 		if !s.options.AdmitOverCapacity {
 			s.record(s.vm.at, t, EventOverCapacity)
@@ -151,7 +152,7 @@
 		s.records.LateCalls++
 		return fmt.Errorf("%w: the lease is over already", api.ErrUnavailable)
 	}
-	t.lease = max(t.lease, s.vm.at+lease)
+	t.lease = max(t.lease, s.vm.at+min(lease, maxLease))
 	return nil
 }
 
--- a/internal/standin/worker/vm.go
+++ b/internal/standin/worker/vm.go
@@ -188,7 +188,7 @@
 	}
 	i := strings.LastIndexByte(name, ':')
 	ms, err := strconv.ParseInt(name[i+1:], 10, 64)
-	if err != nil || ms < 0 || !strings.HasPrefix(name, "checkpoint:") {
+	if err != nil || ms < 0 || ms > maxWorkMs || !strings.HasPrefix(name, "checkpoint:") {
 		return 0, false
 	}
 	return time.Duration(ms) * time.Millisecond, true
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -19,6 +19,8 @@
 const (
 	defaultKeepEnded = 10 * time.Minute // how long List shows an ended attempt
 	maxEvents        = 200_000          // records kept; later ones are counted as dropped
+	maxWorkMs        = 1e10             // virtual work of one attempt, about four months
+	maxLease         = 24 * time.Hour
 )
 
 // SlowdownTable holds, for a template and a template beside it on the VM, the
