Leave the value out of the answer to a swap

The caller of a swap has the value that it wrote; sending it back doubles the traffic of every write. The client fills it in.

The differential test against the in-memory store covers the result.

--- a/internal/kv/client.go
+++ b/internal/kv/client.go
@@ -1,6 +1,7 @@
 package kv
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -35,7 +36,7 @@
 
 // Reply is the body of every answer with status 200.
 type Reply struct {
-	Entry    Entry   `json:"entry,omitzero"`
+	Entry    Entry   `json:"entry,omitzero"` // of a swap without its value, which the caller has
 	Entries  []Entry `json:"entries,omitempty"`
 	Events   []Event `json:"events,omitempty"`
 	Revision uint64  `json:"revision,omitempty"`
@@ -113,7 +114,11 @@
 		return Entry{}, ErrTooLarge
 	}
 	r, err := c.write(ctx, PathSwap, Call{Key: key, Expected: expected, Value: value, Lease: lease})
-	return r.Entry, err
+	if err != nil {
+		return Entry{}, err
+	}
+	r.Entry.Value = bytes.Clone(value)
+	return r.Entry, nil
 }
 
 // Delete implements Store.
--- a/internal/standin/kv/bench_test.go
+++ b/internal/standin/kv/bench_test.go
@@ -19,7 +19,7 @@
 func BenchmarkClient(b *testing.B) {
 	value := make([]byte, 1024)
 	for name, op := range map[string]func(c *store.Client, i int) error{
-		"get": func(c *store.Client, _ int) error { _, err := c.Get(ctx, "page"); return err },
+		"get": func(c *store.Client, _ int) error { _, err := c.Get(ctx, "page/0"); return err },
 		"swap-1KiB": func(c *store.Client, i int) error {
 			_, err := c.CompareAndSwap(ctx, "new/"+strconv.Itoa(i), 0, value, 0)
 			return err
@@ -43,11 +43,7 @@
 		b.Fatal(err)
 	}
 	for i := range 16 {
-		key := "page" + strconv.Itoa(i)
-		if i == 0 {
-			key = "page"
-		}
-		if _, err := s.Store().CompareAndSwap(ctx, key, 0, make([]byte, 1024), 0); err != nil {
+		if _, err := s.Store().CompareAndSwap(ctx, "page/"+strconv.Itoa(i), 0, make([]byte, 1024), 0); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/standin/kv/routes.go
+++ b/internal/standin/kv/routes.go
@@ -24,6 +24,7 @@
 	})
 	s.route(store.PathSwap, write, func(ctx context.Context, c store.Call) (store.Reply, error) {
 		e, err := s.store.CompareAndSwap(ctx, c.Key, c.Expected, c.Value, c.Lease)
+		e.Value = nil
 		return store.Reply{Entry: e}, err
 	})
 	s.route(store.PathDelete, write, func(ctx context.Context, c store.Call) (store.Reply, error) {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -44,7 +44,9 @@
 	Seed              uint64        // of the noise
 }
 
-// Faults are the faults in force. The zero value injects none.
+// Faults are the faults in force. The zero value injects none. End a pause, or
+// Close the stand-in, before its HTTP server: the calls that wait keep the
+// server from closing.
 type Faults struct {
 	FailAll     bool            `json:"fail_all,omitempty"`     // every task fails at once
 	Paused      bool            `json:"paused,omitempty"`       // answers nothing, tasks stand still, leases continue; waiting calls are applied at the end
