--- /dev/null
+++ b/internal/scheduler/life_test.go
@@ -0,0 +1,188 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/quota"
+	"vanillalock.example/vanillalock/internal/scheduler"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/quarantine"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// none is a model without interference.
+type none struct{}
+
+func (none) Pair(string, string) float64 { return 0 }
+
+func cpu(cores int64) structs.Resources {
+	return structs.Resources{MilliCPU: cores * 1000, MemoryMB: 1}
+}
+
+func batch(job string, size structs.Resources, expected time.Duration) scheduler.Task {
+	return scheduler.Task{Shape: scheduler.Shape{Template: "t1", QoS: structs.Batch, Size: size}, ID: structs.TaskID{Job: job}, Team: "a", Expected: expected}
+}
+
+func drain(s *scheduler.Scheduler, now time.Time) (out []scheduler.Decision) {
+	for {
+		d, ok := s.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, d)
+	}
+}
+
+// TestCannotRunHoldsUpNobody guards against a job that fits no VM type blocking the
+// queue, and against the verdict while the VMs are not all known.
+func TestCannotRunHoldsUpNobody(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	s.SetNode(vm(1))
+	s.Add(batch("huge", cpu(20), 0), epoch)
+	s.Add(batch("small", cpu(1), 0), epoch.Add(1))
+	ds := drain(s, epoch)
+	require.Len(t, ds, 1)
+	require.Equal(t, "small", ds[0].Task.ID.Job)
+	s.Settle()
+	ds = drain(s, epoch)
+	require.Len(t, ds, 1)
+	require.Equal(t, scheduler.CannotRun, ds[0].Kind)
+	require.Contains(t, ds[0].Reason, "fits no VM type")
+	s.SetNode(vm(0)) // the larger type
+	s.RemoveNode(vm(0).ID)
+	s.Add(batch("large", cpu(20), 0), epoch)
+	require.Empty(t, drain(s, epoch), "a VM type that is away is still a VM type")
+	require.Equal(t, 1, s.Waiting())
+}
+
+// TestFragmentedRoomDoesNotStarve guards against a stream of small tasks that
+// forever overtakes a task that needs a whole VM.
+func TestFragmentedRoomDoesNotStarve(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	for _, i := range []int{1, 2} {
+		s.SetNode(vm(i))
+	}
+	now, n := epoch, 0
+	ends := map[structs.TaskID]time.Time{}
+	step := func() (placed bool) {
+		now = now.Add(time.Second)
+		for id, at := range ends {
+			if !now.Before(at) {
+				s.Release(id)
+				delete(ends, id)
+			}
+		}
+		for s.Waiting() < 20 {
+			n++
+			s.Add(batch(fmt.Sprint("small", n), cpu(1), 10*time.Second), now)
+		}
+		s.Tick(now)
+		for _, d := range drain(s, now) {
+			placed = placed || d.Task.ID.Job == "whole"
+			ends[d.Task.ID] = now.Add(time.Duration(8+n%5) * time.Second)
+		}
+		return placed
+	}
+	for range 20 {
+		step()
+	}
+	s.Add(batch("whole", cpu(16), time.Minute), now)
+	added := now
+	for !step() {
+		require.Less(t, now.Sub(added), 2*time.Minute, "starved")
+	}
+}
+
+// TestUrgentAsksForRoom guards against urgent tasks waiting behind batch tasks.
+func TestUrgentAsksForRoom(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	s.SetNode(vm(1))
+	for i := range 4 {
+		s.Add(batch(fmt.Sprint(i), cpu(4), time.Hour), epoch)
+	}
+	require.Len(t, drain(s, epoch), 4)
+	urgent := batch("urgent", cpu(2), time.Minute)
+	urgent.QoS = structs.LatencyCritical
+	s.Add(urgent, epoch)
+	require.Empty(t, drain(s, epoch))
+	ds := s.Tick(epoch.Add(time.Second))
+	require.Len(t, ds, 1)
+	require.Equal(t, scheduler.MakeRoom, ds[0].Kind)
+	require.Equal(t, int64(2000), ds[0].Short.MilliCPU)
+	s.Release(structs.TaskID{Job: "0"})
+	s.Add(batch("late", cpu(4), time.Hour), epoch)
+	require.Equal(t, "urgent", drain(s, epoch)[0].Task.ID.Job, "urgent before batch")
+}
+
+// TestRecoveryIsBounded guards against a stampede of restarts after the loss of a
+// failure domain: most urgent first, at most 10% of the free capacity per second.
+func TestRecoveryIsBounded(t *testing.T) {
+	p, _ := plugins.Default(none{})
+	s := scheduler.New(scheduler.Config{}, p, quota.New())
+	for i := range 100 {
+		s.SetNode(vm(1 + 3*i)) // 16 cores each
+	}
+	for i := range 1000 {
+		task := batch(fmt.Sprint(i), cpu(1), time.Hour)
+		task.Recovered = true
+		if i%10 == 9 {
+			task.QoS = structs.LatencyCritical
+		}
+		s.Add(task, epoch)
+	}
+	free := 1600.0
+	for sec := range 5 {
+		ds := drain(s, epoch.Add(time.Duration(sec)*time.Second))
+		require.LessOrEqual(t, float64(len(ds)), 0.1*free+1)
+		require.Greater(t, float64(len(ds)), 0.05*free)
+		free -= float64(len(ds))
+		for i, d := range ds {
+			require.Equal(t, sec == 0 && i < 100, d.Task.QoS == structs.LatencyCritical)
+		}
+	}
+}
+
+// TestRefusal guards against proposing the same VM again before its load is known.
+func TestRefusal(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	s.SetNode(vm(1))
+	s.Add(batch("x", cpu(1), 0), epoch)
+	require.Len(t, drain(s, epoch), 1)
+	s.Refused(structs.TaskID{Job: "x"}, epoch)
+	s.Add(batch("x", cpu(1), 0), epoch)
+	require.Empty(t, drain(s, epoch))
+	s.SetReported(vm(1).ID, cpu(16))
+	s.Tick(epoch.Add(2 * time.Second))
+	require.Empty(t, drain(s, epoch), "other entries use the VM")
+	s.SetReported(vm(1).ID, cpu(15))
+	require.Len(t, drain(s, epoch), 1)
+}
+
+// TestQuarantine guards against a worker that fails everything it starts, and
+// against blaming it for the failures of one job.
+func TestQuarantine(t *testing.T) {
+	q, now := quarantine.NewTracker(), epoch
+	for range 10 {
+		require.False(t, q.Ended("vm", "same", true, 9, now))
+	}
+	require.True(t, q.Ended("vm", "other", true, 9, now))
+	require.False(t, q.Quarantined("vm", now.Add(time.Minute)))
+	now = now.Add(time.Minute)
+	require.True(t, q.Ended("vm", "other", true, 9, now), "probation")
+	require.True(t, q.Quarantined("vm", now.Add(time.Minute)))
+	require.False(t, q.Ended("vm", "other", false, 9, now.Add(3*time.Minute)))
+	for i := range 20 {
+		q.Ended(fmt.Sprint("vm", i%5), fmt.Sprint(i), true, 9, now)
+	}
+	inside := 0
+	for i := range 5 {
+		if q.Quarantined(fmt.Sprint("vm", i), now) {
+			inside++
+		}
+	}
+	require.Equal(t, 3, inside, "at most a third")
+}
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -88,7 +88,10 @@
 
 // Settle states that the VMs of the region have had the time to announce
 // themselves; before that no task is said to never run.
-func (s *Scheduler) Settle() { s.settled = true }
+func (s *Scheduler) Settle() {
+	s.settled = true
+	s.freed++ // waiting tasks are looked at again
+}
 
 // total recomputes the capacity against which shares are measured.
 func (s *Scheduler) total() {
