--- /dev/null
+++ b/internal/api/input.go
@@ -0,0 +1,239 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// Limits of input.
+const (
+	// MaxNameLength bounds names and ids, in bytes: they become part of keys of
+	// the key-value service.
+	MaxNameLength = 64
+	// MaxKeyLength bounds an idempotency key, in bytes.
+	MaxKeyLength = 128
+	// MaxParameters bounds the parameters of a request, job or template.
+	MaxParameters = 64
+	// MaxParameterLength bounds the value of a parameter, in bytes.
+	MaxParameterLength = 64 * 1024
+	// MaxJobTasks bounds the tasks of one job, whose record must fit a page.
+	MaxJobTasks = 1000
+	// MaxMillis bounds times in templates: 30 days.
+	MaxMillis = int64(30 * 24 * time.Hour / time.Millisecond)
+	// MaxAttempts bounds the attempts of a task.
+	MaxAttempts = 1000
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	keyPattern  = regexp.MustCompile(`^[!-~]+$`)
+)
+
+// decode reads one JSON value of at most limit bytes, without unknown fields
+// and without trailing data.
+func decode(r io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return rescode.Errorf(rescode.MalformedBody, "reading the body: %w", err)
+	}
+	if int64(len(data)) > limit {
+		return rescode.Errorf(rescode.BodyTooLarge, "the body exceeds %d bytes", limit)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return malformed(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return rescode.Errorf(rescode.MalformedBody, "data after the JSON value")
+	}
+	return nil
+}
+
+func malformed(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return rescode.FieldErrorf(rescode.MalformedBody, wrongType.Field, "expected %s, found %s", wrongType.Type, wrongType.Value)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), `json: unknown field "`); ok {
+		return rescode.FieldErrorf(rescode.MalformedBody, strings.TrimSuffix(name, `"`), "unknown field")
+	}
+	return rescode.Errorf(rescode.MalformedBody, "malformed JSON: %w", err)
+}
+
+func checkName(field, value string) error {
+	if value == "" || len(value) > MaxNameLength || !namePattern.MatchString(value) {
+		return rescode.FieldErrorf(rescode.InvalidName, field, "must be 1 to %d of A-Z a-z 0-9 . _ - and start with a letter or digit", MaxNameLength)
+	}
+	return nil
+}
+
+func checkKey(value string) error {
+	if value != "" && (len(value) > MaxKeyLength || !keyPattern.MatchString(value)) {
+		return rescode.FieldErrorf(rescode.InvalidName, HeaderIdempotencyKey, "must be 1 to %d printable ASCII characters without spaces", MaxKeyLength)
+	}
+	return nil
+}
+
+func checkParameters(field string, parameters map[string]string) error {
+	if len(parameters) > MaxParameters {
+		return rescode.FieldErrorf(rescode.OutOfRange, field, "%d parameters, at most %d", len(parameters), MaxParameters)
+	}
+	for name, value := range parameters {
+		if err := checkName(field, name); err != nil {
+			return err
+		}
+		if len(value) > MaxParameterLength {
+			return rescode.FieldErrorf(rescode.OutOfRange, field+"."+name, "%d bytes, at most %d", len(value), MaxParameterLength)
+		}
+	}
+	return nil
+}
+
+func checkRange(field string, value, low, high int64) error {
+	if value < low || value > high {
+		return rescode.FieldErrorf(rescode.OutOfRange, field, "%d is out of range %d to %d", value, low, high)
+	}
+	return nil
+}
+
+// Largest sizes that can be declared, above those of any VM.
+const (
+	maxMilliCPU     = 10_000_000
+	maxMemoryMB     = 100_000_000
+	maxAccelerators = 1024
+)
+
+func checkResources(field string, r structs.Resources) error {
+	return first(
+		checkRange(field+".milli_cpu", r.MilliCPU, 0, maxMilliCPU),
+		checkRange(field+".memory_mb", r.MemoryMB, 0, maxMemoryMB),
+		checkRange(field+".accelerators", r.Accelerators, 0, maxAccelerators))
+}
+
+// first returns the first error, so that the field it names is unambiguous.
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readRequest(body io.Reader, header http.Header, limits Limits) (RequestInput, error) {
+	var in RequestInput
+	if err := decode(body, limits.MaxBodyBytes, &in); err != nil {
+		return in, err
+	}
+	in.IdempotencyKey = header.Get(HeaderIdempotencyKey)
+	if in.ID != "" {
+		if err := checkName("id", in.ID); err != nil {
+			return in, err
+		}
+	}
+	if text := header.Get(HeaderRequestTimeout); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > limits.MaxTimeout {
+			return in, rescode.FieldErrorf(rescode.InvalidDeadline, HeaderRequestTimeout, "must be a duration such as 900ms, above 0 and at most %s", limits.MaxTimeout)
+		}
+		in.Timeout = d
+	}
+	return in, first(checkKey(in.IdempotencyKey), checkName("template", in.Template),
+		checkName("customer", in.Customer), checkParameters("parameters", in.Parameters))
+}
+
+func readJob(body io.Reader, header http.Header, limits Limits) (JobInput, error) {
+	var in JobInput
+	if err := decode(body, limits.MaxBodyBytes, &in); err != nil {
+		return in, err
+	}
+	in.Key = header.Get(HeaderIdempotencyKey)
+	if in.Resources != nil {
+		if err := checkResources("resources", *in.Resources); err != nil {
+			return in, err
+		}
+	}
+	return in, first(checkKey(in.Key), checkName("template", in.Template), checkName("customer", in.Customer),
+		checkRange("count", int64(in.Count), 0, MaxJobTasks), checkParameters("parameters", in.Parameters))
+}
+
+// readVersion parses If-Match; absent means 0, the object must not exist.
+func readVersion(header http.Header) (uint64, error) {
+	text := strings.Trim(header.Get(HeaderIfMatch), `"`)
+	if text == "" {
+		return 0, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, rescode.FieldErrorf(rescode.OutOfRange, HeaderIfMatch, "%q is not a version number", text)
+	}
+	return v, nil
+}
+
+// nameOf takes the name from the path; a different name in the body is an error.
+func nameOf(c *gin.Context, inBody *string) error {
+	name := c.Param("name")
+	if err := checkName("name", name); err != nil {
+		return err
+	}
+	if *inBody != "" && *inBody != name {
+		return rescode.FieldErrorf(rescode.InvalidName, "name", "differs from the name in the path")
+	}
+	*inBody = name
+	return nil
+}
+
+// CheckTemplate reports the first invalid field of a template.
+func CheckTemplate(t structs.Template) error {
+	if t.Kind != structs.KindRequest && t.Kind != structs.KindTask {
+		return rescode.FieldErrorf(rescode.OutOfRange, "kind", "must be %s or %s", structs.KindRequest, structs.KindTask)
+	}
+	if t.QoS != structs.LatencyCritical && t.QoS != structs.Batch {
+		return rescode.FieldErrorf(rescode.OutOfRange, "qos", "must be %s or %s", structs.LatencyCritical, structs.Batch)
+	}
+	if t.Deleted {
+		return rescode.FieldErrorf(rescode.OutOfRange, "deleted", "use DELETE")
+	}
+	if len(t.Parameters) > MaxParameters {
+		return rescode.FieldErrorf(rescode.OutOfRange, "parameters", "%d parameters, at most %d", len(t.Parameters), MaxParameters)
+	}
+	seen := map[string]string{}
+	for _, p := range t.Parameters {
+		if _, ok := seen[p.Name]; ok {
+			return rescode.FieldErrorf(rescode.InvalidName, "parameters", "%q is repeated", p.Name)
+		}
+		seen[p.Name] = p.Default
+	}
+	return first(checkResources("resources", t.Resources), checkParameters("parameters", seen),
+		checkRange("expected_ms", t.ExpectedMillis, 0, MaxMillis), checkRange("deadline_ms", t.DeadlineMillis, 0, MaxMillis),
+		checkRange("checkpoint_ms", t.CheckpointMillis, 0, MaxMillis), checkRange("max_attempts", int64(t.MaxAttempts), 0, MaxAttempts))
+}
+
+// CheckCustomer reports the first invalid field of a customer.
+func CheckCustomer(c structs.Customer) error {
+	if c.Deleted {
+		return rescode.FieldErrorf(rescode.OutOfRange, "deleted", "use DELETE")
+	}
+	if c.RequestsPerSecond < 0 || c.RequestsPerSecond > 1e6 {
+		return rescode.FieldErrorf(rescode.OutOfRange, "requests_per_second", "%g is out of range 0 to 1000000", c.RequestsPerSecond)
+	}
+	for template, parameters := range c.Parameters {
+		if err := first(checkName("parameters", template), checkParameters("parameters."+template, parameters)); err != nil {
+			return err
+		}
+	}
+	return first(checkName("team", c.Team), checkResources("quota", c.Quota))
+}
