--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,153 @@
+// Package agent is the process beside each VM. It has the last word on the
+// VM's slots, connections and capacity, keeps the at-most-once record of
+// requests, and holds the permits of the tasks that run on the worker.
+//
+// One goroutine owns the control state (type control); sessions, calls to the
+// upstream and calls to the worker run in goroutines of their own and post
+// events to it.
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace"
+
+	"vanillalock.example/vanillalock/internal/structs"
+	"vanillalock.example/vanillalock/internal/upstream"
+	"vanillalock.example/vanillalock/internal/wire"
+	"vanillalock.example/vanillalock/internal/worker"
+)
+
+const (
+	// heartbeatInterval is the time between two heartbeats to an entry.
+	heartbeatInterval = 2 * time.Second
+	// tickInterval drives expiry, reclassification and dispatch deadlines.
+	tickInterval = 50 * time.Millisecond
+	// leaveGrace is how long after announcing its departure an agent still
+	// accepts requests that entries had already sent.
+	leaveGrace = 2 * time.Second
+	// eventBacklog bounds the events that wait for the control goroutine.
+	eventBacklog = 1024
+	// defaultDrain bounds a graceful shutdown.
+	defaultDrain = 30 * time.Second
+)
+
+// Options configure an Agent.
+type Options struct {
+	Node     structs.Node // Incarnation 0: derived from the start time
+	Entries  []string     // session addresses of entries known from settings
+	Worker   worker.Client
+	Upstream upstream.Client
+	TLS      *tls.Config // nil: plain TCP
+	Log      *log.Logger
+	Tracer   trace.Tracer
+	Drain    time.Duration // 0: 30 s
+}
+
+// Agent is one agent incarnation.
+type Agent struct {
+	opts    Options
+	events  chan func(*control)
+	stats   wire.Stats
+	started time.Time
+	metrics *Metrics
+
+	leaveOnce sync.Once
+	leaving   chan struct{}
+	drained   chan struct{}
+	wg        sync.WaitGroup
+}
+
+// New returns an agent that has not started yet.
+func New(opts Options) *Agent {
+	if opts.Node.Incarnation == 0 {
+		// Start times order the incarnations of one VM; a VM restarts far less
+		// often than its clock's resolution.
+		opts.Node.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if opts.Drain == 0 {
+		opts.Drain = defaultDrain
+	}
+	return &Agent{
+		opts:    opts,
+		events:  make(chan func(*control), eventBacklog),
+		started: time.Now(),
+		metrics: newMetrics(),
+		leaving: make(chan struct{}),
+		drained: make(chan struct{}),
+	}
+}
+
+// Leave starts a graceful shutdown: entries are told to send nothing new, work
+// in flight ends, then Run returns. It returns at once.
+func (a *Agent) Leave() {
+	a.leaveOnce.Do(func() { close(a.leaving) })
+}
+
+// Run serves until ctx ends (at once) or Leave has drained the agent.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer a.wg.Wait()
+	defer cancel()
+	c := newControl(a, ctx)
+	c.adoptTasks()
+	for _, address := range a.opts.Entries {
+		c.connect(address)
+	}
+	a.wg.Go(func() { a.drainWhenLeaving(ctx) })
+	return c.loop(ctx)
+}
+
+// do posts an event to the control goroutine. It returns false when the agent
+// has stopped.
+func (a *Agent) do(ctx context.Context, event func(*control)) bool {
+	select {
+	case a.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// drainWhenLeaving announces the departure, waits for the work in flight and
+// ends the loop. The drain deadline bounds it.
+func (a *Agent) drainWhenLeaving(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.leaving:
+	}
+	a.opts.Log.Info("Leaving.", "drain", a.opts.Drain)
+	a.do(ctx, func(c *control) { c.startLeaving() })
+	deadline := time.After(a.opts.Drain)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-deadline:
+			a.opts.Log.Warn("Drain deadline reached.")
+			close(a.drained)
+			return
+		case <-ticker.C:
+		}
+		idle := make(chan bool, 1)
+		if !a.do(ctx, func(c *control) { idle <- c.idle() }) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case ok := <-idle:
+			if ok {
+				close(a.drained)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"vanillalock.example/vanillalock/coord/lease"
+	"vanillalock.example/vanillalock/coord/propagation"
+	"vanillalock.example/vanillalock/internal/request/classify"
+	"vanillalock.example/vanillalock/internal/request/dedup"
+	"vanillalock.example/vanillalock/internal/request/slots"
+	"vanillalock.example/vanillalock/internal/structs"
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+// control is the state owned by the control goroutine.
+type control struct {
+	agent *Agent
+	ctx   context.Context
+
+	record   *dedup.Record
+	slots    *slots.Scheduler
+	classes  *classify.Classifier
+	runs     map[string]*requestRun
+	waiters  map[dedup.Waiter]chan<- structs.Answer
+	waiterID dedup.Waiter
+
+	sessions map[string]*entrySession // by dialled address
+	config   *propagation.Replica
+	tasks    *taskTable
+
+	leaving      bool
+	leavingSince time.Time
+}
+
+// requestRun is one accepted request that has not ended.
+type requestRun struct {
+	request *pb.Request
+	arrived time.Time
+	started time.Time
+	class   structs.SizeClass
+}
+
+func newControl(a *Agent, ctx context.Context) *control {
+	slotConfig := slots.DefaultConfig()
+	slotConfig.Slots = a.opts.Node.Slots
+	slotConfig.Connections = a.opts.Node.Connections
+	c := &control{
+		agent:    a,
+		ctx:      ctx,
+		record:   dedup.New(dedup.DefaultConfig(), a.started),
+		slots:    slots.New(slotConfig),
+		classes:  classify.New(classify.DefaultConfig()),
+		runs:     map[string]*requestRun{},
+		waiters:  map[dedup.Waiter]chan<- structs.Answer{},
+		sessions: map[string]*entrySession{},
+		config:   propagation.NewReplica(),
+	}
+	c.tasks = newTaskTable(c, lease.Default())
+	return c
+}
+
+// loop runs the control goroutine.
+func (c *control) loop(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	poll := time.NewTicker(taskPollInterval)
+	defer poll.Stop()
+	for {
+		// Permits that ended during a pause are handled before any event that
+		// waited meanwhile.
+		c.tasks.expire()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.agent.drained:
+			c.closeSessions()
+			return nil
+		case event := <-c.agent.events:
+			c.tasks.expire()
+			event(c)
+		case <-tick.C:
+			c.reclassify(time.Now())
+			c.pump()
+		case <-heartbeat.C:
+			c.sendHeartbeats()
+		case <-poll.C:
+			c.tasks.poll()
+		}
+	}
+}
+
+func (c *control) startLeaving() {
+	c.leaving, c.leavingSince = true, time.Now()
+	c.sendHeartbeats()
+	c.tasks.evictAll("agent is leaving")
+}
+
+// idle reports whether a leaving agent may stop: nothing in flight, every task
+// stopped and reported, and the grace for requests on their way over.
+func (c *control) idle() bool {
+	return len(c.runs) == 0 && c.tasks.idle() && time.Since(c.leavingSince) > leaveGrace
+}
+
+func (c *control) closeSessions() {
+	for _, s := range c.sessions {
+		s.stop()
+	}
+}
--- /dev/null
+++ b/internal/agent/session.go
@@ -0,0 +1,281 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"vanillalock.example/vanillalock/coord/lease"
+	"vanillalock.example/vanillalock/coord/propagation"
+	"vanillalock.example/vanillalock/internal/wire"
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+const (
+	redialMin = 200 * time.Millisecond
+	redialMax = 5 * time.Second
+	// outboxSize bounds the control frames that wait for a slow entry. Frames
+	// beyond it are dropped: heartbeats and task events are sent again anyway.
+	outboxSize = 256
+	// forgetAfter is how long an agent keeps dialling an address that no entry
+	// names any more.
+	forgetAfter = 10 * time.Minute
+)
+
+// entrySession is the agent's side of the connection to one entry.
+type entrySession struct {
+	address   string
+	entry     string // incarnation id from the last acknowledgement
+	connected bool
+	named     time.Time // last time that an entry named this address
+	shards    map[uint32]bool
+	outbox    chan *pb.Frame
+	stop      context.CancelFunc
+}
+
+// connect starts the dial loop of an address, if there is none yet.
+func (c *control) connect(address string) {
+	if s, ok := c.sessions[address]; ok {
+		s.named = time.Now()
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	s := &entrySession{
+		address: address, named: time.Now(), stop: cancel,
+		outbox: make(chan *pb.Frame, outboxSize),
+	}
+	c.sessions[address] = s
+	c.agent.wg.Go(func() { c.agent.dialLoop(ctx, s) })
+}
+
+// forget ends the dial loops of entries that are gone.
+func (c *control) forget(seeds []string) {
+	for address, s := range c.sessions {
+		if s.connected || slices.Contains(seeds, address) || time.Since(s.named) < forgetAfter {
+			continue
+		}
+		s.stop()
+		delete(c.sessions, address)
+	}
+}
+
+// dialLoop keeps a session with one entry until ctx ends.
+func (a *Agent) dialLoop(ctx context.Context, s *entrySession) {
+	backoff := redialMin
+	for ctx.Err() == nil {
+		started := time.Now()
+		if err := a.serveSession(ctx, s); err != nil {
+			a.opts.Log.Debug("Session ended.", "entry", s.address, "err", err)
+		}
+		a.do(ctx, func(*control) { s.connected = false })
+		if time.Since(started) > redialMax {
+			backoff = redialMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff/2 + rand.N(backoff)):
+		}
+		backoff = min(2*backoff, redialMax)
+	}
+}
+
+// serveSession runs one session from dial to end.
+func (a *Agent) serveSession(ctx context.Context, s *entrySession) error {
+	session, err := wire.Dial(ctx, s.address, a.opts.TLS, &a.stats)
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := session.Open()
+	if err != nil {
+		return err
+	}
+	announce := make(chan *pb.Announce, 1)
+	if !a.do(ctx, func(c *control) {
+		s.connected = true
+		drainOutbox(s.outbox)
+		announce <- c.announce()
+	}) {
+		return ctx.Err()
+	}
+	select {
+	case frame := <-announce:
+		if err := stream.Send(&pb.Frame{Body: &pb.Frame_Announce{Announce: frame}}); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	a.opts.Log.Info("Connected.", "entry", s.address)
+	a.do(ctx, func(c *control) { c.sendHeartbeat(s, c.tasks.heartbeatSent()) })
+	a.wg.Go(func() { a.writeControl(ctx, session, stream, s) })
+	a.wg.Go(func() { a.acceptStreams(ctx, session) })
+	return a.readControl(ctx, stream, s)
+}
+
+func (a *Agent) writeControl(ctx context.Context, session *wire.Session, stream *wire.Stream, s *entrySession) {
+	defer session.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-session.Done():
+			return
+		case frame := <-s.outbox:
+			if err := stream.Send(frame); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (a *Agent) acceptStreams(ctx context.Context, session *wire.Session) {
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		a.wg.Go(func() { a.serveStream(ctx, stream) })
+	}
+}
+
+func (a *Agent) readControl(ctx context.Context, stream *wire.Stream, s *entrySession) error {
+	for {
+		frame, err := stream.Receive(0)
+		if err != nil {
+			return err
+		}
+		if !a.do(ctx, func(c *control) { c.onControl(s, frame) }) {
+			return ctx.Err()
+		}
+	}
+}
+
+// onControl handles a control frame from an entry.
+func (c *control) onControl(s *entrySession, frame *pb.Frame) {
+	switch body := frame.Body.(type) {
+	case *pb.Frame_HeartbeatAck:
+		c.onAck(s, body.HeartbeatAck)
+	case *pb.Frame_ConfigPush:
+		c.config.Apply(configPush(body.ConfigPush))
+		c.sendHeartbeat(s, c.tasks.heartbeatSent())
+	case *pb.Frame_TaskStart:
+		c.tasks.start(body.TaskStart)
+	case *pb.Frame_TaskStop:
+		c.tasks.stopTask(body.TaskStop)
+	case *pb.Frame_TaskCheckpoint:
+		c.tasks.checkpoint(body.TaskCheckpoint)
+	case *pb.Frame_TaskThrottle:
+		c.tasks.throttle(body.TaskThrottle)
+	case *pb.Frame_TaskQuery:
+		c.tasks.query(body.TaskQuery)
+	case *pb.Frame_TaskEventAck:
+		c.tasks.acknowledged(body.TaskEventAck.Seq)
+	}
+}
+
+func (c *control) onAck(s *entrySession, ack *pb.HeartbeatAck) {
+	s.entry = ack.Entry
+	for _, e := range ack.Entries {
+		c.connect(e.Address)
+	}
+	s.shards = map[uint32]bool{}
+	for _, g := range ack.Shards {
+		s.shards[g.Shard] = true
+	}
+	c.tasks.onAck(leaseAck(ack))
+}
+
+func configPush(push *pb.ConfigPush) propagation.Push {
+	out := propagation.Push{Revision: push.Revision, Digest: push.Digest}
+	for _, o := range push.Objects {
+		out.Objects = append(out.Objects, propagation.Object{
+			Key: propagation.Key{Kind: o.Kind, Name: o.Name}, Version: o.Version, Deleted: o.Deleted, Data: o.Json,
+		})
+	}
+	return out
+}
+
+func leaseAck(ack *pb.HeartbeatAck) lease.Ack {
+	out := lease.Ack{
+		Seq: ack.Seq, Entry: ack.Entry, Verified: ack.Verified,
+		VerifiedAge: lease.Instant(time.Duration(ack.VerifiedAgeUs) * time.Microsecond),
+		NoContact:   ack.NoKvContact, Epoch: ack.MembersEpoch,
+	}
+	for _, g := range ack.Shards {
+		out.Shards = append(out.Shards, lease.ShardGeneration{Shard: g.Shard, Generation: g.Generation})
+	}
+	if ack.Members != nil {
+		out.Members = &lease.MemberList{Epoch: ack.Members.Epoch, Members: ack.Members.Members}
+	}
+	return out
+}
+
+func (c *control) announce() *pb.Announce {
+	n := c.agent.opts.Node
+	return &pb.Announce{
+		VmId: n.ID, Incarnation: n.Incarnation, FailureDomain: n.FailureDomain, Rack: n.Rack,
+		Capacity: &pb.Resources{MilliCpu: n.Capacity.MilliCPU, MemoryMb: n.Capacity.MemoryMB, Accelerators: n.Capacity.Accelerators},
+		Slots:    uint32(n.Slots), Connections: uint32(n.Connections),
+		Attempts: c.tasks.statuses(), ConfigRevision: c.config.Revision(), ConfigDigest: c.config.Digest(),
+	}
+}
+
+// sendHeartbeats sends one heartbeat to every connected entry, and the task
+// events that are not acknowledged yet.
+func (c *control) sendHeartbeats() {
+	c.forget(c.agent.opts.Entries)
+	seq := c.tasks.heartbeatSent()
+	for _, s := range c.sessions {
+		c.sendHeartbeat(s, seq)
+	}
+}
+
+func (c *control) sendHeartbeat(s *entrySession, seq uint64) {
+	if !s.connected {
+		return
+	}
+	c.post(s, &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{
+		Seq: seq, Load: c.load(), ConfigRevision: c.config.Revision(), ConfigDigest: c.config.Digest(), Leaving: c.leaving,
+		MembersEpoch: c.tasks.holder.Epoch(), Usage: c.tasks.usage(s),
+	}}})
+	for _, frame := range c.tasks.pendingEvents(s) {
+		c.post(s, frame)
+	}
+}
+
+// post queues a control frame for an entry.
+func (c *control) post(s *entrySession, frame *pb.Frame) {
+	select {
+	case s.outbox <- frame:
+	default:
+		c.agent.metrics.dropped.Add(1)
+	}
+}
+
+func (c *control) load() *pb.Load {
+	l := c.slots.Load()
+	queued := 0
+	for _, n := range l.Queued {
+		queued += n
+	}
+	reserved := c.tasks.reserved()
+	return &pb.Load{
+		SlotsBusy: uint32(l.Busy), Queued: uint32(queued), Connections: uint32(l.Connections),
+		Reserved:    &pb.Resources{MilliCpu: reserved.MilliCPU, MemoryMb: reserved.MemoryMB, Accelerators: reserved.Accelerators},
+		ShortWaitUs: uint32(l.ShortWait.Microseconds()),
+	}
+}
+
+func drainOutbox(outbox chan *pb.Frame) {
+	for {
+		select {
+		case <-outbox:
+		default:
+			return
+		}
+	}
+}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -31,6 +31,7 @@
 	Writer      string `json:"writer"`
 	Nonce       uint64 `json:"nonce"` // unique to one call of the writer
 	RequestID   string `json:"request_id"`
+	IssuedUs    int64  `json:"issued_us"`   // Unix time stamped by the entry that accepted it
 	Fingerprint string `json:"fingerprint"` // of template, customer and parameters
 	Agent       string `json:"agent"`       // VM id of the agent that may run it
 	Incarnation uint64 `json:"incarnation"`
@@ -89,13 +90,13 @@
 	}
 }
 
-// Move binds the claim to another agent. The caller must hold a proof that the
-// agent named in claim has not run the request and never will.
-func (s *Store) Move(ctx context.Context, customer, key string, claim Claim, agent string, incarnation uint64) (Claim, error) {
-	next := claim
+// Move replaces a claim that was read or created by another one. The caller
+// must hold a proof that the agent named in from has not run the request and
+// never will.
+func (s *Store) Move(ctx context.Context, customer, key string, from, to Claim) (Claim, error) {
+	next := to
 	next.Writer, next.Nonce = s.writer, s.nextNonce()
-	next.Agent, next.Incarnation = agent, incarnation
-	next.Moves++
+	next.Moves = from.Moves + 1
 	value, err := json.Marshal(next)
 	if err != nil {
 		return Claim{}, rescode.Errorf(rescode.Internal, "encode claim: %w", err)
@@ -105,7 +106,7 @@
 		return Claim{}, err
 	}
 	path := keyOf(customer, key)
-	entry, err := s.kv.CompareAndSwap(ctx, path, claim.version, value, lease)
+	entry, err := s.kv.CompareAndSwap(ctx, path, from.version, value, lease)
 	if err == nil {
 		next.version = entry.Version
 		return next, nil
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -57,10 +57,10 @@
 	require.NoError(t, err)
 	seen, err := s2.Get(ctx, "c", "k")
 	require.NoError(t, err)
-	moved, err := s1.Move(ctx, "c", "k", first, "vm-2", 1)
+	moved, err := s1.Move(ctx, "c", "k", first, Claim{RequestID: "r", Agent: "vm-2"})
 	require.NoError(t, err)
 	require.Equal(t, "vm-2", moved.Agent)
-	current, err := s2.Move(ctx, "c", "k", seen, "vm-3", 1)
+	current, err := s2.Move(ctx, "c", "k", seen, Claim{RequestID: "r", Agent: "vm-3"})
 	require.Equal(t, rescode.VersionConflict, rescode.Of(err))
 	require.Equal(t, "vm-2", current.Agent)
 }
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"vanillalock.example/vanillalock/coord/membership"
+	"vanillalock.example/vanillalock/internal/api"
+	"vanillalock.example/vanillalock/internal/configstore"
+	"vanillalock.example/vanillalock/internal/request/outlier"
+	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+var _ api.Service = (*Entry)(nil)
+
+var errStopped = rescode.Errorf(rescode.Leaving, "the entry is shutting down")
+
+// Ready implements api.Service.
+func (e *Entry) Ready() bool {
+	ready, ok := ask(context.Background(), e, func(c *control) bool { return c.loaded && !c.leaving })
+	return ok && ready
+}
+
+// GetTemplate implements api.Service.
+func (e *Entry) GetTemplate(ctx context.Context, name string) (structs.Template, error) {
+	t, ok := ask(ctx, e, func(c *control) *structs.Template {
+		if t, exists := c.templates[name]; exists {
+			return &t
+		}
+		return nil
+	})
+	switch {
+	case !ok:
+		return structs.Template{}, errStopped
+	case t == nil:
+		return structs.Template{}, rescode.FieldErrorf(rescode.NotFound, "template", "%q does not exist", name)
+	}
+	return *t, nil
+}
+
+// ListTemplates implements api.Service.
+func (e *Entry) ListTemplates(ctx context.Context) ([]structs.Template, error) {
+	list, ok := ask(ctx, e, func(c *control) []structs.Template {
+		out := make([]structs.Template, 0, len(c.templates))
+		for _, t := range c.templates {
+			out = append(out, t)
+		}
+		return out
+	})
+	if !ok {
+		return nil, errStopped
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list, nil
+}
+
+// SetTemplate implements api.Service.
+func (e *Entry) SetTemplate(ctx context.Context, t structs.Template, expected uint64) (structs.Template, error) {
+	t.Version, t.Deleted = 0, false
+	value, err := json.Marshal(t)
+	if err != nil {
+		return structs.Template{}, rescode.Errorf(rescode.Internal, "encode template: %w", err)
+	}
+	o, err := e.edit(ctx, func(ctx context.Context) (configstore.Object, error) {
+		return e.config.Put(ctx, configstore.Template, t.Name, value, expected)
+	})
+	var stored structs.Template
+	if len(o.JSON) > 0 && json.Unmarshal(o.JSON, &stored) == nil {
+		stored.Name, stored.Version = t.Name, o.Version
+	}
+	return stored, err
+}
+
+// DeleteTemplate implements api.Service.
+func (e *Entry) DeleteTemplate(ctx context.Context, name string, expected uint64) error {
+	_, err := e.edit(ctx, func(ctx context.Context) (configstore.Object, error) {
+		return e.config.Delete(ctx, configstore.Template, name, expected)
+	})
+	return err
+}
+
+// GetCustomer implements api.Service.
+func (e *Entry) GetCustomer(ctx context.Context, name string) (structs.Customer, error) {
+	customer, ok := ask(ctx, e, func(c *control) *structs.Customer {
+		if customer, exists := c.customers[name]; exists {
+			return &customer
+		}
+		return nil
+	})
+	switch {
+	case !ok:
+		return structs.Customer{}, errStopped
+	case customer == nil:
+		return structs.Customer{}, rescode.FieldErrorf(rescode.NotFound, "customer", "%q does not exist", name)
+	}
+	return *customer, nil
+}
+
+// ListCustomers implements api.Service.
+func (e *Entry) ListCustomers(ctx context.Context) ([]structs.Customer, error) {
+	list, ok := ask(ctx, e, func(c *control) []structs.Customer {
+		out := make([]structs.Customer, 0, len(c.customers))
+		for _, customer := range c.customers {
+			out = append(out, customer)
+		}
+		return out
+	})
+	if !ok {
+		return nil, errStopped
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list, nil
+}
+
+// SetCustomer implements api.Service.
+func (e *Entry) SetCustomer(ctx context.Context, customer structs.Customer, expected uint64) (structs.Customer, error) {
+	customer.Version, customer.Deleted = 0, false
+	value, err := json.Marshal(customer)
+	if err != nil {
+		return structs.Customer{}, rescode.Errorf(rescode.Internal, "encode customer: %w", err)
+	}
+	o, err := e.edit(ctx, func(ctx context.Context) (configstore.Object, error) {
+		return e.config.Put(ctx, configstore.Customer, customer.Name, value, expected)
+	})
+	var stored structs.Customer
+	if len(o.JSON) > 0 && json.Unmarshal(o.JSON, &stored) == nil {
+		stored.Name, stored.Version = customer.Name, o.Version
+	}
+	return stored, err
+}
+
+// DeleteCustomer implements api.Service.
+func (e *Entry) DeleteCustomer(ctx context.Context, name string, expected uint64) error {
+	_, err := e.edit(ctx, func(ctx context.Context) (configstore.Object, error) {
+		return e.config.Delete(ctx, configstore.Customer, name, expected)
+	})
+	return err
+}
+
+// edit runs one edit and puts its result in force here at once; the watches of
+// the other entries follow.
+func (e *Entry) edit(ctx context.Context, write func(context.Context) (configstore.Object, error)) (configstore.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	e.editMu.Lock()
+	o, err := write(ctx)
+	e.editMu.Unlock()
+	if err == nil || configstore.IsConflict(err) && o.Version > 0 {
+		e.do(ctx, func(c *control) { c.applyConfig([]configstore.Object{o}) })
+	}
+	return o, err
+}
+
+// Status implements api.Service.
+func (e *Entry) Status(ctx context.Context) api.EntryStatus {
+	status, _ := ask(ctx, e, func(c *control) api.EntryStatus { return c.status() })
+	return status
+}
+
+func (c *control) status() api.EntryStatus {
+	e := c.entry
+	urgent, batch, inFlight, _ := c.admission.Load()
+	out := api.EntryStatus{
+		Entry: e.incarnation, FailureDomain: e.opts.FailureDomain, Ready: c.loaded && !c.leaving, Leaving: c.leaving,
+		StoreContact:   e.now()-c.jobs.readAt < 3*time.Second && c.jobs.readAt > 0,
+		ConfigRevision: c.source.Revision(), MembersEpoch: c.verifier.Epoch(),
+		InFlight: inFlight, Queued: urgent + batch, Tasks: map[string]int{},
+	}
+	if n := len(c.jobs.members); n > 0 {
+		out.Members = c.jobs.members[n-1].Members
+	}
+	for id, s := range c.jobs.owned {
+		out.OwnedShards = append(out.OwnedShards, id)
+		if s.state == nil {
+			continue
+		}
+		for state, n := range s.state.Counts() {
+			if n > 0 {
+				out.Tasks[string(state)] += n
+			}
+		}
+	}
+	sort.Slice(out.OwnedShards, func(i, j int) bool { return out.OwnedShards[i] < out.OwnedShards[j] })
+	for id, a := range c.agents {
+		out.Upstreams = append(out.Upstreams, c.upstreamStatus(id, a))
+	}
+	sort.Slice(out.Upstreams, func(i, j int) bool { return out.Upstreams[i].ID < out.Upstreams[j].ID })
+	return out
+}
+
+func (c *control) upstreamStatus(id string, a *agentState) api.UpstreamStatus {
+	s := api.UpstreamStatus{
+		ID: id, Incarnation: a.node.Incarnation, FailureDomain: a.node.FailureDomain, Rack: a.node.Rack,
+		Slots: a.node.Slots, Capacity: a.node.Capacity, State: c.stateName(id, a),
+	}
+	if a.load != nil {
+		s.SlotsBusy, s.Queued, s.Reserved = int(a.load.SlotsBusy), int(a.load.Queued), resourcesOf(a.load.Reserved)
+	}
+	return s
+}
+
+func (c *control) stateName(id string, a *agentState) string {
+	state, _ := c.members.State(id)
+	switch {
+	case a.leaving:
+		return "leaving"
+	case a.session == nil || state != membership.Present:
+		return "suspect"
+	case c.outliers.State(id) != outlier.Healthy:
+		return "ejected"
+	case c.jobs.policy.quarantine.Quarantined(id, time.Now()):
+		return "quarantined"
+	}
+	return "alive"
+}
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -45,6 +45,7 @@
 	Token       structs.Token
 	Worker      string
 	Incarnation uint64
+	Epoch       uint64 // Place: member list epoch, needed to prove the end of the attempt
 	Checkpoint  string
 	ProgressMs  int64
 	End         worker.State // Ended: Done, Failed, Stopped or Lapsed
@@ -137,7 +138,7 @@
 	t.Attempt++
 	t.started = false
 	t.Generation = s.generation
-	t.Worker, t.Incarnation = ev.Worker, ev.Incarnation
+	t.Worker, t.Incarnation, t.Epoch = ev.Worker, ev.Incarnation, ev.Epoch
 	s.set(ev.Task, t, structs.TaskPlaced, "")
 	s.emit(Start, ev.Task, t)
 }
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -32,6 +32,7 @@
 	Generation  uint64            `json:"g,omitempty"`
 	Worker      string            `json:"w,omitempty"`
 	Incarnation uint64            `json:"n,omitempty"`
+	Epoch       uint64            `json:"h,omitempty"`
 	Checkpoint  string            `json:"c,omitempty"`
 	ProgressMs  int64             `json:"p,omitempty"`
 	Failures    int               `json:"f,omitempty"`
@@ -50,7 +51,7 @@
 
 func (t *task) record(jobID string) record {
 	return record{Task: &taskRecord{Job: jobID, Index: t.Index, State: t.State, Attempt: t.Attempt,
-		Generation: t.Generation, Worker: t.Worker, Incarnation: t.Incarnation, Checkpoint: t.Checkpoint,
+		Generation: t.Generation, Worker: t.Worker, Incarnation: t.Incarnation, Epoch: t.Epoch, Checkpoint: t.Checkpoint,
 		ProgressMs: t.ProgressMs, Failures: t.Failures, Evictions: t.Evictions, Reason: t.Reason, EndedMs: t.endedMs}}
 }
 
@@ -203,7 +204,7 @@
 
 func (t *task) load(r *taskRecord) {
 	t.Task = structs.Task{Index: r.Index, State: r.State, Attempt: r.Attempt, Generation: r.Generation,
-		Worker: r.Worker, Incarnation: r.Incarnation, Checkpoint: r.Checkpoint, ProgressMs: r.ProgressMs,
+		Worker: r.Worker, Incarnation: r.Incarnation, Epoch: r.Epoch, Checkpoint: r.Checkpoint, ProgressMs: r.ProgressMs,
 		Failures: r.Failures, Evictions: r.Evictions, Reason: r.Reason}
 	t.endedMs = r.EndedMs
 	t.started = active(r.State)
--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -178,6 +178,7 @@
 	Generation  uint64    `json:"generation"`            // shard generation of the last transition
 	Worker      string    `json:"worker,omitempty"`      // VM id of the current attempt
 	Incarnation uint64    `json:"incarnation,omitempty"` // of the worker's agent
+	Epoch       uint64    `json:"epoch,omitempty"`       // member list epoch at the placement
 	Checkpoint  string    `json:"checkpoint,omitempty"`  // last acknowledged checkpoint
 	ProgressMs  int64     `json:"progress_ms,omitempty"` // work saved in Checkpoint
 	Failures    int       `json:"failures,omitempty"`
