--- a/internal/demo/system_test.go
+++ b/internal/demo/system_test.go
@@ -48,3 +48,14 @@
 		return err == nil && tasksIn([]structs.Job{got}, structs.TaskDone) == 4
 	}, time.Minute, 50*time.Millisecond)
 }
+
+// Guards against a demonstration that ends with a broken invariant.
+func TestRunKeepsInvariants(t *testing.T) {
+	d, err := Find(PasjiUrnik)
+	require.NoError(t, err)
+	report, err := Run(context.Background(), RunOptions{Deployment: d, Duration: 3 * time.Second, Seed: 1})
+	require.NoError(t, err)
+	require.Zero(t, report.Violations, "%v %v", report.Invariants, report.Findings)
+	require.NotZero(t, report.Load.Total.Done)
+	require.NotZero(t, report.TaskStarts)
+}
