Add the command line

The binary needs its roles, stand-ins, tools and client commands behind one command line.

Commands of other packages are function fields of command.Runners; one without a runner is not registered. The client commands run against the HTTP API, go on to the next entry only when no connection can be made, and map the outcome to the exit code.

--- a/internal/api/client/client.go
+++ b/internal/api/client/client.go
@@ -8,11 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
-	"syscall"
+	"time"
 
 	"vanillalock.example/vanillalock/internal/api"
 	"vanillalock.example/vanillalock/internal/obs"
@@ -24,8 +25,11 @@
 // is the largest.
 const maxResponseBytes = 64 << 20
 
+// dialTimeout leaves time for the next entry when one does not respond.
+const dialTimeout = 2 * time.Second
+
 // Client calls entries in the given order. It goes on to the next entry only
-// when the connection to one is refused, so that no call is sent twice.
+// when no connection to one can be made, so that no call is sent twice.
 type Client struct {
 	entries []string
 	http    *http.Client
@@ -38,7 +42,10 @@
 	}
 	c := &Client{http: httpClient}
 	if c.http == nil {
-		c.http = http.DefaultClient
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.Proxy = nil
+		transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		c.http = &http.Client{Transport: transport}
 	}
 	for _, e := range entries {
 		u, err := url.Parse(e)
@@ -82,7 +89,8 @@
 	var last error
 	for _, entry := range c.entries {
 		response, err := c.send(ctx, entry, k, body)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		var network *net.OpError
+		if errors.As(err, &network) && network.Op == "dial" {
 			last = rescode.Errorf(rescode.NoUpstream, "entry %s: %w", entry, err)
 			continue
 		}
--- /dev/null
+++ b/internal/command/clients.go
@@ -0,0 +1,275 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/api"
+	"vanillalock.example/vanillalock/internal/api/client"
+	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// maxFileBytes bounds an object file.
+const maxFileBytes = 1 << 20
+
+// connection holds the options of all client commands.
+type connection struct {
+	Entry  []string      `default:"http://127.0.0.1:8080" sep:"," env:"VANILLALOCK_ENTRY" help:"Base URL of an entry; several are tried in order." placeholder:"URL"`
+	Output string        `default:"text" enum:"text,json" help:"Output format: text or json."`
+	Wait   time.Duration `default:"30s" help:"Time limit of the call."`
+}
+
+// call runs f with a client and a time limit.
+func (c connection) call(s *state, f func(context.Context, *client.Client) error) error {
+	cl, err := client.New(c.Entry, nil)
+	if err != nil {
+		return usageError{err}
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, c.Wait)
+	defer cancel()
+	return f(ctx, cl)
+}
+
+// print writes v as JSON, or the rows as a table.
+func (c connection) print(s *state, v any, rows ...[]any) error {
+	if c.Output == "json" {
+		e := json.NewEncoder(s.streams.Out)
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(s.streams.Out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, cell)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+// readObject decodes a file, or standard input for "-", without unknown fields.
+func readObject(s *state, path string, into any) error {
+	in := s.in
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return usageError{err}
+		}
+		defer f.Close()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, maxFileBytes+1))
+	if err != nil {
+		return usageError{fmt.Errorf("reading %s: %w", path, err)}
+	}
+	if len(data) > maxFileBytes {
+		return usageError{fmt.Errorf("%s exceeds %d bytes", path, maxFileBytes)}
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return usageError{fmt.Errorf("decoding %s: %w", path, err)}
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return usageError{fmt.Errorf("%s has data after the JSON value", path)}
+	}
+	return nil
+}
+
+type requestCmd struct {
+	Submit requestSubmitCmd `cmd:"" help:"Run a request and wait for its answer."`
+	Get    requestGetCmd    `cmd:"" help:"Fetch the answer of an earlier request."`
+}
+
+type requestSubmitCmd struct {
+	connection
+	Template  string            `required:"" help:"Name of the template."`
+	Customer  string            `required:"" help:"Name of the customer."`
+	Key       string            `help:"Idempotency key; required for a non-idempotent template."`
+	ID        string            `name:"id" help:"Request id; assigned if empty."`
+	Timeout   time.Duration     `help:"Time allowed for the request; that of the template if 0."`
+	Parameter map[string]string `short:"p" help:"Parameter, NAME=VALUE; may be repeated." placeholder:"NAME=VALUE"`
+}
+
+// Help implements kong.HelpProvider.
+func (requestSubmitCmd) Help() string {
+	return "Example: vanillalock request submit --template gate-check --customer park-7 -p ticket=41"
+}
+
+// Run submits the request.
+func (c requestSubmitCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		a, err := cl.SubmitRequest(ctx, api.RequestInput{ID: c.ID, IdempotencyKey: c.Key, Template: c.Template,
+			Customer: c.Customer, Parameters: c.Parameter, Timeout: c.Timeout})
+		if err != nil {
+			return err
+		}
+		return c.printAnswer(s, a)
+	})
+}
+
+// printAnswer prints the answer; an outcome other than success is an error, so
+// that it determines the exit code.
+func (c connection) printAnswer(s *state, a api.AnswerBody) error {
+	body := string(a.Body)
+	if len(a.BodyBase64) > 0 {
+		body = fmt.Sprintf("%d bytes that are not text", len(a.BodyBase64))
+	}
+	err := c.print(s, a, []any{"request", a.RequestID}, []any{"outcome", a.Outcome}, []any{"code", a.Code}, []any{"detail", a.Detail},
+		[]any{"upstream", a.Upstream}, []any{"body", body})
+	if err != nil || a.Code == rescode.OK {
+		return err
+	}
+	return rescode.Errorf(a.Code, "request %s: %s", a.RequestID, a.Code)
+}
+
+type requestGetCmd struct {
+	connection
+	ID string `arg:"" help:"Request id."`
+}
+
+// Help implements kong.HelpProvider.
+func (requestGetCmd) Help() string { return "Example: vanillalock request get r-41" }
+
+// Run fetches the answer.
+func (c requestGetCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		a, err := cl.FetchAnswer(ctx, c.ID)
+		if err != nil {
+			return err
+		}
+		return c.printAnswer(s, a)
+	})
+}
+
+type jobCmd struct {
+	Submit jobSubmitCmd `cmd:"" help:"Submit a job."`
+	Status jobStatusCmd `cmd:"" help:"Show a job."`
+	Cancel jobCancelCmd `cmd:"" help:"Cancel a job."`
+	List   jobListCmd   `cmd:"" help:"List jobs."`
+}
+
+type jobSubmitCmd struct {
+	connection
+	Template  string            `required:"" help:"Name of the template."`
+	Customer  string            `required:"" help:"Name of the customer."`
+	Count     int               `default:"1" help:"Number of tasks."`
+	Key       string            `help:"Idempotency key: a repeated submission returns the same job."`
+	Parameter map[string]string `short:"p" help:"Parameter, NAME=VALUE; may be repeated." placeholder:"NAME=VALUE"`
+}
+
+// Help implements kong.HelpProvider.
+func (jobSubmitCmd) Help() string {
+	return "Example: vanillalock job submit --template render --customer home-3 --count 4 --key render-2026-12"
+}
+
+// Run submits the job.
+func (c jobSubmitCmd) Run(s *state) error {
+	in := api.JobInput{Key: c.Key, Template: c.Template, Customer: c.Customer, Count: c.Count, Parameters: c.Parameter}
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		job, err := cl.SubmitJob(ctx, in)
+		if err != nil {
+			return err
+		}
+		return c.printJobs(s, job, job)
+	})
+}
+
+// printJobs prints v as JSON, or one line for each job.
+func (c connection) printJobs(s *state, v any, jobs ...structs.Job) error {
+	rows := [][]any{{"JOB", "TEMPLATE", "CUSTOMER", "TASKS", "STATES"}}
+	for _, j := range jobs {
+		states := map[structs.TaskState]int{}
+		for _, t := range j.Tasks {
+			states[t.State]++
+		}
+		rows = append(rows, []any{j.ID, j.Template, j.Customer, len(j.Tasks), fmt.Sprint(states)[len("map"):]})
+	}
+	return c.print(s, v, rows...)
+}
+
+type jobStatusCmd struct {
+	connection
+	ID string `arg:"" help:"Job id."`
+}
+
+// Help implements kong.HelpProvider.
+func (jobStatusCmd) Help() string { return "Example: vanillalock job status j-17" }
+
+// Run shows the job.
+func (c jobStatusCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		job, err := cl.GetJob(ctx, c.ID)
+		if err != nil {
+			return err
+		}
+		return c.printJobs(s, job, job)
+	})
+}
+
+type jobCancelCmd struct {
+	connection
+	ID string `arg:"" help:"Job id."`
+}
+
+// Help implements kong.HelpProvider.
+func (jobCancelCmd) Help() string { return "Example: vanillalock job cancel j-17" }
+
+// Run cancels the job.
+func (c jobCancelCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		job, err := cl.CancelJob(ctx, c.ID)
+		if err != nil {
+			return err
+		}
+		return c.printJobs(s, job, job)
+	})
+}
+
+type jobListCmd struct{ connection }
+
+// Help implements kong.HelpProvider.
+func (jobListCmd) Help() string { return "Example: vanillalock job list --output json" }
+
+// Run lists the jobs.
+func (c jobListCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		jobs, err := cl.ListJobs(ctx)
+		if err != nil {
+			return err
+		}
+		return c.printJobs(s, api.JobList{Jobs: jobs}, jobs...)
+	})
+}
+
+type statusCmd struct{ connection }
+
+// Help implements kong.HelpProvider.
+func (statusCmd) Help() string { return "Example: vanillalock status --entry http://127.0.0.1:8080" }
+
+// Run shows the state of the first entry that can be reached.
+func (c statusCmd) Run(s *state) error {
+	return c.call(s, func(ctx context.Context, cl *client.Client) error {
+		st, err := cl.Status(ctx)
+		if err != nil {
+			return err
+		}
+		rows := [][]any{{"entry", st.Entry}, {"failure domain", st.FailureDomain}, {"ready", st.Ready}, {"leaving", st.Leaving},
+			{"key-value contact", st.StoreContact}, {"configuration revision", st.ConfigRevision}, {"members", st.Members},
+			{"owned shards", st.OwnedShards}, {"in flight", st.InFlight}, {"queued", st.Queued}, {"tasks", st.Tasks}}
+		for _, u := range st.Upstreams {
+			rows = append(rows, []any{"upstream " + u.ID, fmt.Sprintf("%s, %d of %d slots, %d queued", u.State, u.SlotsBusy, u.Slots, u.Queued)})
+		}
+		return c.print(s, st, rows...)
+	})
+}
--- /dev/null
+++ b/internal/command/runners.go
@@ -0,0 +1,99 @@
+// Package command is the command line of the binary. It parses options, runs
+// the client commands itself and hands the other commands to Runners.
+package command
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/settings"
+)
+
+// Streams are the outputs of a command: results go to Out, messages to Err.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Runner runs one command until it ends or ctx is cancelled.
+type Runner[O any] func(ctx context.Context, options O, streams Streams) error
+
+// Runners are the commands that other packages implement. A command whose
+// runner is nil does not exist on the command line.
+type Runners struct {
+	Entry           Runner[EntryOptions]
+	Agent           Runner[AgentOptions]
+	StandinKV       Runner[StandinKVOptions]
+	StandinWorker   Runner[StandinWorkerOptions]
+	StandinUpstream Runner[StandinUpstreamOptions]
+	Load            Runner[LoadOptions]
+	Demo            Runner[DemoOptions]
+	Bench           Runner[BenchOptions]
+	Report          Runner[ReportOptions]
+}
+
+// EntryOptions are the options of "entry".
+type EntryOptions struct {
+	Settings settings.Entry
+	Path     string // settings file
+}
+
+// AgentOptions are the options of "agent".
+type AgentOptions struct {
+	Settings settings.Agent
+	Path     string // settings file
+}
+
+// StandinKVOptions are the options of "standin kv".
+type StandinKVOptions struct {
+	Listen string        `default:"127.0.0.1:9000" help:"Listen address, host:port."`
+	Delay  time.Duration `default:"0s" help:"Added to each call."`
+}
+
+// StandinWorkerOptions are the options of "standin worker".
+type StandinWorkerOptions struct {
+	Listen       string `default:"127.0.0.1:9100" help:"Listen address, host:port."`
+	VM           string `default:"vm-1" help:"VM id."`
+	MilliCPU     int64  `default:"16000" help:"Processors, in thousandths of a core."`
+	MemoryMB     int64  `default:"62000" help:"Memory, in MiB."`
+	Accelerators int64  `default:"0" help:"Accelerators, in whole devices."`
+}
+
+// StandinUpstreamOptions are the options of "standin upstream".
+type StandinUpstreamOptions struct {
+	Listen      string `default:"127.0.0.1:9200" help:"Listen address, host:port."`
+	Slots       int    `default:"8" help:"Requests run at once."`
+	Connections int    `default:"64" help:"Connections accepted."`
+}
+
+// LoadOptions are the options of "load".
+type LoadOptions struct {
+	Entry    []string      `required:"" sep:"," help:"Base URL of an entry; loopback only." placeholder:"URL"`
+	Profile  string        `default:"steady" help:"Name of the load profile."`
+	Rate     float64       `default:"50" help:"Requests per second at the base of the profile."`
+	Duration time.Duration `default:"30s" help:"Length of the run."`
+	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
+	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+}
+
+// DemoOptions are the options of "demo".
+type DemoOptions struct {
+	Duration time.Duration `default:"30s" help:"Length of the run."`
+	Seed     uint64        `default:"1" help:"Seed of the load."`
+	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+}
+
+// BenchOptions are the options of "bench".
+type BenchOptions struct {
+	Case     []string      `sep:"," help:"Names of the cases; all if empty." placeholder:"NAME"`
+	Duration time.Duration `default:"10s" help:"Length of one case."`
+	Seed     uint64        `default:"1" help:"Seed of the load."`
+	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+}
+
+// ReportOptions are the options of "report".
+type ReportOptions struct {
+	Result []string `arg:"" help:"One JSON result, or two to compare." placeholder:"FILE"`
+	HTML   string   `name:"html" help:"File for the HTML page." placeholder:"FILE"`
+}
