--- /dev/null
+++ b/internal/settings/docs_test.go
@@ -0,0 +1,68 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "rewrite the tables of docs/configuration.md")
+
+const page = "../../docs/configuration.md"
+
+func table(keys []Key) string {
+	var b strings.Builder
+	b.WriteString("| key | type | range | default | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, k := range keys {
+		def := "`" + k.Default + "`"
+		if k.Required {
+			def = "required"
+		} else if k.Default == "" {
+			def = "empty"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.Path, k.Type, k.Range, def, k.Doc)
+	}
+	return b.String()
+}
+
+// Guards against a key, range or default that differs between page and schema.
+func TestConfigurationPage(t *testing.T) {
+	data, err := os.ReadFile(page)
+	require.NoError(t, err)
+	text := string(data)
+	for role, keys := range map[string][]Key{"entry": EntryKeys(), "agent": AgentKeys()} {
+		begin, end := "<!-- "+role+" keys -->\n", "<!-- end of "+role+" keys -->"
+		_, rest, ok := strings.Cut(text, begin)
+		require.True(t, ok, role)
+		found, _, ok := strings.Cut(rest, end)
+		require.True(t, ok, role)
+		if *update {
+			text = strings.Replace(text, begin+found+end, begin+table(keys)+end, 1)
+			continue
+		}
+		assert.Equal(t, table(keys), found, "run go test ./internal/settings -update")
+	}
+	if *update {
+		require.NoError(t, os.WriteFile(page, []byte(text), 0o644))
+	}
+}
+
+// Guards against an example that the parser refuses.
+func TestExamples(t *testing.T) {
+	entry, err := os.ReadFile("../../examples/entry.toml")
+	require.NoError(t, err)
+	e, err := ParseEntry(entry)
+	require.NoError(t, err)
+	agent, err := os.ReadFile("../../examples/agent.toml")
+	require.NoError(t, err)
+	a, err := ParseAgent(agent)
+	require.NoError(t, err)
+	assert.Equal(t, e.Permit, a.Permit)
+	assert.Equal(t, e.Region, a.Region)
+	assert.Contains(t, a.Entries, e.Session.Advertise)
+}
