Measure the request path in virtual time and check its targets

Cause: the targets of the request path need a policy and its baseline in the same run. The first runs showed three faults: batch work waiting at agents used up the shared limit, a target wait of 20 ms shrank the limit while the agents worked at full rate, and the deadline check let the queue grow until answers were late. Change: an event loop over the real packages. Admission has separate limits for urgent and batch, a target wait of 100 ms and a wait factor of 1.5. Routing charges upstreams that run requests much slower than the others.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -4,7 +4,8 @@
 // A request is refused at once if its customer's or team's quota is used up, if
 // the queue is full, or if the expected wait plus the expected run time exceeds
 // its deadline. Urgent requests go before batch requests; within each, customers
-// share by weight. The number of requests in flight follows an adaptive limit.
+// share by weight. The urgent and the batch requests in flight each follow an
+// adaptive limit.
 // All refusals are proven "not run": the request was never handed out. A
 // Controller is not safe for concurrent use.
 package admission
@@ -27,23 +28,35 @@
 	// learned run time exceeds the deadline. Without probes a wrong estimate
 	// would never be corrected.
 	ProbeEvery int
-	Limit      LimitConfig
+	// WaitFactor multiplies the expected wait in the check at Submit. An estimate
+	// that is only just met lets the queue grow until most answers are late.
+	WaitFactor float64
+	// Urgent and Batch have separate limits: batch work that waits at an agent
+	// would otherwise use up the limit and hold urgent requests back at the entry.
+	Urgent, Batch LimitConfig
 }
 
 // DefaultConfig returns the parameters for an entry with the given number of
 // slots over all its upstreams and the number of entries that share them.
 func DefaultConfig(slots, entries int) Config {
 	share := max(slots/max(entries, 1), 1)
+	// The target wait is well above the time until one of eight busy slots becomes
+	// free. A target near that time shrinks the limit while the agents still work
+	// at full rate, and urgent requests then wait at the entry instead.
+	limit := LimitConfig{
+		Initial: share, Min: max(share/2, 1), Max: 8 * share,
+		TargetWait: 100 * time.Millisecond,
+		Interval:   100 * time.Millisecond,
+		Increase:   0.05, Decrease: 0.9,
+	}
+	batch := limit
+	batch.TargetWait = 500 * time.Millisecond
 	return Config{
 		MaxUrgent: 1024, MaxBatch: 1024,
 		QuotaBurst: time.Second,
 		ProbeEvery: 32,
-		Limit: LimitConfig{
-			Initial: share, Min: max(share/2, 1), Max: 8 * share,
-			TargetWait: 20 * time.Millisecond,
-			Interval:   100 * time.Millisecond,
-			Increase:   0.05, Decrease: 0.9,
-		},
+		WaitFactor: 1.5,
+		Urgent:     limit, Batch: batch,
 	}
 }
 
@@ -65,6 +78,8 @@
 
 // Result describes the end of a dispatched request.
 type Result struct {
+	// Urgent is the flag of the request's Item.
+	Urgent bool
 	// Ran is true if the upstream ran the request; Wait is its time in the
 	// agent's queue and Run its run time.
 	Ran       bool
@@ -82,13 +97,19 @@
 // Controller is the admission state of one entry. Create it with New.
 type Controller struct {
 	cfg       Config
-	limit     *Limit
-	urgent    *fairQueue
-	batch     *fairQueue
+	urgent    lane
+	batch     lane
 	customers map[string]party
 	teams     map[string]party
-	inFlight  int
 	hopeless  int // requests whose learned run time exceeds their deadline
+}
+
+// lane is the queue of urgent or batch requests with its limit.
+type lane struct {
+	*fairQueue
+	limit    *Limit
+	bound    int // of the queue
+	inFlight int
 	// agentWait and stretch are moving averages of the wait at the agent and of
 	// (wait + run) / run, the time a request is in flight per run time.
 	agentWait time.Duration
@@ -98,13 +119,24 @@
 // New returns a Controller without quotas.
 func New(cfg Config) *Controller {
 	return &Controller{
-		cfg: cfg, limit: NewLimit(cfg.Limit),
-		urgent: newFairQueue(), batch: newFairQueue(),
+		cfg:       cfg,
+		urgent:    newLane(cfg.Urgent, cfg.MaxUrgent),
+		batch:     newLane(cfg.Batch, cfg.MaxBatch),
 		customers: make(map[string]party), teams: make(map[string]party),
-		stretch: 1,
 	}
 }
 
+func newLane(cfg LimitConfig, bound int) lane {
+	return lane{fairQueue: newFairQueue(), limit: NewLimit(cfg), bound: bound, stretch: 1}
+}
+
+func (c *Controller) lane(urgent bool) *lane {
+	if urgent {
+		return &c.urgent
+	}
+	return &c.batch
+}
+
 // SetCustomer sets the weight of a customer (0 means 1) and its quota in
 // requests per second at this entry (0: none). The caller divides the quota of
 // the configuration among the entries.
@@ -132,16 +164,13 @@
 	if !available(now, customer) || !available(now, team) {
 		return rescode.QuotaExceeded, nil
 	}
-	wait := c.Wait(it)
+	wait := time.Duration(float64(c.Wait(it)) * c.cfg.WaitFactor)
 	it.probe = c.probes(now, it, wait)
 	if !it.probe && !meets(now, it, wait) {
 		return rescode.DeadlineUnmet, nil
 	}
-	q, bound := c.batch, c.cfg.MaxBatch
-	if it.Urgent {
-		q, bound = c.urgent, c.cfg.MaxUrgent
-	}
-	if q.length >= bound {
+	q := c.lane(it.Urgent)
+	if q.length >= q.bound {
 		out, ok := q.dropNewest(it, weight)
 		if !ok {
 			return rescode.Overloaded, nil
@@ -162,17 +191,17 @@
 // Expired requests can no longer meet their deadline and are refused with
 // rescode.DeadlineUnmet.
 func (c *Controller) Next(now time.Time) (it Item, expired []Item, ok bool) {
-	for _, q := range []*fairQueue{c.urgent, c.batch} {
+	for _, q := range []*lane{&c.urgent, &c.batch} {
 		for f := q.head(); f != nil; f = q.head() {
-			if !meets(now, f.items[0], c.agentWait) {
+			if !meets(now, f.items[0], q.agentWait) {
 				expired = append(expired, q.pop(f, false))
 				continue
 			}
-			if c.inFlight >= c.limit.Value() {
-				c.limit.Reached()
+			if q.inFlight >= q.limit.Value() {
+				q.limit.Reached()
 				return Item{}, expired, false
 			}
-			c.inFlight++
+			q.inFlight++
 			return q.pop(f, true), expired, true
 		}
 	}
@@ -181,42 +210,45 @@
 
 // Cancel removes a queued request. It returns false if it is not queued.
 func (c *Controller) Cancel(it Item) bool {
-	if it.Urgent {
-		return c.urgent.remove(it.Customer, it.ID)
-	}
-	return c.batch.remove(it.Customer, it.ID)
+	return c.lane(it.Urgent).remove(it.Customer, it.ID)
 }
 
 // Done records the end of a dispatched request.
 func (c *Controller) Done(now time.Time, r Result) {
-	c.inFlight--
-	c.limit.Observe(now, r.Wait, r.Congested)
+	q := c.lane(r.Urgent)
+	q.inFlight--
+	q.limit.Observe(now, r.Wait, r.Congested)
 	if !r.Ran {
 		return
 	}
-	c.agentWait += (r.Wait - c.agentWait) / 16
+	q.agentWait += (r.Wait - q.agentWait) / 16
 	run := max(r.Run, minCost)
-	c.stretch += (float64(run+r.Wait)/float64(run) - c.stretch) / 32
+	q.stretch += (float64(run+r.Wait)/float64(run) - q.stretch) / 32
 }
 
 // Wait returns the expected time from now until a new request starts to run.
 func (c *Controller) Wait(it Item) time.Duration {
-	weight := c.weight(it.Customer)
-	var ahead time.Duration
-	if it.Urgent {
-		ahead = c.urgent.ahead(it.Customer, weight)
-	} else {
-		ahead = c.urgent.work + c.batch.ahead(it.Customer, weight)
+	q := c.lane(it.Urgent)
+	wait := q.agentWait + q.serve(q.ahead(it.Customer, c.weight(it.Customer)))
+	if !it.Urgent {
+		wait += c.urgent.serve(c.urgent.work)
 	}
-	limit := max(c.limit.Value(), 1)
-	return c.agentWait + time.Duration(float64(ahead)*c.stretch/float64(limit))
+	return wait
 }
 
-// Load returns the queue lengths, the requests in flight and their limit.
-func (c *Controller) Load() (urgent, batch, inFlight, limit int) {
-	return c.urgent.length, c.batch.length, c.inFlight, c.limit.Value()
+// serve returns the time until queued work has been dispatched.
+func (q *lane) serve(work time.Duration) time.Duration {
+	return time.Duration(float64(work) * q.stretch / float64(max(q.limit.Value(), 1)))
 }
 
+// LaneLoad is the state of the urgent or the batch requests.
+type LaneLoad struct{ Queued, InFlight, Limit int }
+
+// Load returns the present state.
+func (c *Controller) Load() (urgent, batch LaneLoad) { return c.urgent.load(), c.batch.load() }
+
+func (q *lane) load() LaneLoad { return LaneLoad{q.length, q.inFlight, q.limit.Value()} }
+
 // meets reports whether a request that starts to run after wait is expected to
 // end before its deadline.
 func meets(now time.Time, it Item, wait time.Duration) bool {
--- /dev/null
+++ b/internal/request/experiment/rounds.go
@@ -0,0 +1,117 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/request/admission"
+	"vanillalock.example/vanillalock/internal/request/route"
+)
+
+// Round is a scenario with a name, for the tables of measurements.
+type Round struct {
+	Name     string
+	Scenario Scenario
+}
+
+// NoisySwing is a load swing from 18% to 90% of the capacity, during which 2 of 11
+// upstreams run five times slower beside a burst of noisy batch tasks.
+func NoisySwing() Scenario {
+	s := Swing(0.18, 5)
+	s.Slow, s.SlowFactor = 2, 5
+	return s
+}
+
+// with returns the scenario after a change.
+func (s Scenario) with(change func(*Scenario)) Scenario {
+	change(&s)
+	return s
+}
+
+func routing(p route.Policy) func(*Scenario) { return func(s *Scenario) { s.Routing = p } }
+
+// baseline is least outstanding in front of first come first served.
+func baseline(s *Scenario) { s.Routing, s.Admission, s.FCFS = route.LeastOutstanding, false, true }
+
+// slotsOnly isolates the agent's scheduler: random routing and no admission make
+// the arrivals at each agent independent.
+func slotsOnly(s *Scenario) { s.Routing, s.Admission = route.Random, false }
+
+func firstCome(s *Scenario) { slotsOnly(s); s.FCFS = true }
+
+func shortOnly(s *Scenario) { s.LongShare = 0 }
+
+// Rounds returns the scenarios of docs/measurements-request.md.
+func Rounds() []Round {
+	var out []Round
+	add := func(name string, s Scenario) { out = append(out, Round{name, s}) }
+	for _, swing := range []Round{{"noisy swing to 0.9", NoisySwing()}, {"even swing to 0.9", Swing(0.18, 5)}, {"swing to 1.25", Swing(0.25, 5)}} {
+		add(swing.Name+", random", swing.Scenario.with(routing(route.Random)))
+		add(swing.Name+", least outstanding", swing.Scenario.with(routing(route.LeastOutstanding)))
+		add(swing.Name+", expected wait", swing.Scenario)
+		add(swing.Name+", least outstanding and FCFS", swing.Scenario.with(baseline))
+	}
+	for _, load := range []float64{0.5, 1, 2, 4} {
+		add(fmt.Sprintf("load %g", load), NewScenario(load))
+		add(fmt.Sprintf("load %g, short work only", load), NewScenario(load).with(shortOnly))
+		add(fmt.Sprintf("load %g, least outstanding and FCFS", load), NewScenario(load).with(baseline))
+	}
+	for _, load := range []float64{0.7, 0.9} {
+		add(fmt.Sprintf("slots at %g, FCFS", load), NewScenario(load).with(firstCome))
+		add(fmt.Sprintf("slots at %g, classes", load), NewScenario(load).with(slotsOnly))
+	}
+	return append(out, variants()...)
+}
+
+// variants are changes of one parameter, kept to repeat the rounds that chose it.
+func variants() []Round {
+	limit := func(d time.Duration) func(*Scenario) {
+		return func(s *Scenario) { s.Control.Urgent.TargetWait = d }
+	}
+	factor := func(f float64) func(*Scenario) { return func(s *Scenario) { s.Control.WaitFactor = f } }
+	router := func(change func(*route.Config)) func(*Scenario) {
+		return func(s *Scenario) { s.Router = change }
+	}
+	maxLong := func(n int) func(*Scenario) { return func(s *Scenario) { s.Slots.MaxLong = n } }
+	return []Round{
+		{"swing to 1.25, target wait 20 ms", Swing(0.25, 5).with(limit(20 * time.Millisecond))},
+		{"load 4, short work only, wait factor 1", NewScenario(4).with(shortOnly).with(factor(1))},
+		{"load 1, deadline check with p90", NewScenario(1).with(func(s *Scenario) { s.HighQuantile = true })},
+		{"noisy swing to 0.9, slow upstreams not charged", NoisySwing().with(router(func(c *route.Config) { c.SlowdownBand = 1e9 }))},
+		{"even swing to 0.9, own requests counted once", Swing(0.18, 5).with(router(func(c *route.Config) { c.Entries = 1 }))},
+		{"even swing to 0.9, all upstreams local", Swing(0.18, 5).with(router(func(c *route.Config) { c.Hop = -time.Hour }))},
+		{"swing to 0.9, 60% at one entry, expected wait", Swing(0.18, 5).with(func(s *Scenario) { s.Skew = 0.4 })},
+		{"swing to 0.9, 60% at one entry, least outstanding", Swing(0.18, 5).with(func(s *Scenario) { s.Skew = 0.4 }).with(routing(route.LeastOutstanding))},
+		{"slots at 0.9, long work in at most 3 slots", NewScenario(0.9).with(slotsOnly).with(maxLong(3))},
+		{"slots at 0.9, long work in at most 6 slots", NewScenario(0.9).with(slotsOnly).with(maxLong(6))},
+		{"load 1, one limit value for batch (20 ms)", NewScenario(1).with(func(s *Scenario) {
+			s.Control.Batch = admission.LimitConfig(s.Control.Urgent)
+			s.Control.Batch.TargetWait = 20 * time.Millisecond
+		})},
+	}
+}
+
+// Row runs a round with every seed and returns one line of a Markdown table with
+// the medians. Times are in milliseconds.
+func Row(r Round) string {
+	runs := RunAll(r.Scenario)
+	median := func(figure func(*Figures) float64) float64 {
+		var all []float64
+		for _, f := range runs {
+			all = append(all, figure(f))
+		}
+		return MedianOf(all)
+	}
+	cells := []string{r.Name}
+	for _, q := range []float64{0.5, 0.99, 0.999} {
+		cells = append(cells, fmt.Sprintf("%.0f", median(func(f *Figures) float64 { return f.Latency(q).Seconds() * 1e3 })))
+	}
+	cells = append(cells,
+		fmt.Sprintf("%.0f", median(func(f *Figures) float64 { return f.Wait(0.99).Seconds() * 1e3 })),
+		fmt.Sprintf("%.1f%%", 100*median((*Figures).UrgentInTime)),
+		fmt.Sprintf("%.1f%%", 100*median((*Figures).LongInTime)),
+		fmt.Sprintf("%.0f", median((*Figures).Goodput)),
+		fmt.Sprintf("%.1f", median((*Figures).Work)))
+	return "| " + strings.Join(cells, " | ") + " |"
+}
--- /dev/null
+++ b/internal/request/experiment/scenario.go
@@ -0,0 +1,99 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/request/admission"
+	"vanillalock.example/vanillalock/internal/request/route"
+	"vanillalock.example/vanillalock/internal/request/slots"
+)
+
+// Scenario describes one run.
+type Scenario struct {
+	Entries, Upstreams int
+	// Load is the offered load at a time since the start, as a share of the
+	// capacity of all slots.
+	Load func(since time.Duration) float64
+	// Duration of arrivals; the figures cover arrivals in [From, To).
+	Duration, From, To time.Duration
+	// LongShare is the share of requests that run long.
+	LongShare float64
+	// Skew is the share of arrivals at the first entry; the rest is even.
+	// 0 means even.
+	Skew float64
+	// Slow upstreams (the first ones) run requests SlowFactor times longer
+	// between From and To, as beside a burst of noisy batch tasks.
+	Slow       int
+	SlowFactor float64
+
+	Routing   route.Policy
+	Admission bool // false: dispatch at once, no limit and no deadline check
+	FCFS      bool // the agents' queues: first come first served, unbounded
+	Slots     slots.Config
+	// Control is the configuration of each entry's admission.
+	Control admission.Config
+	// Router changes the configuration of each entry's router if it is not nil.
+	Router func(*route.Config)
+	// HighQuantile checks deadlines with a high quantile of the run time instead
+	// of the median.
+	HighQuantile bool
+}
+
+// Model constants. Delays are those of section 1.5 of the design.
+const (
+	shortMean     = 40 * time.Millisecond
+	longMean      = 800 * time.Millisecond
+	shortDeadline = time.Second
+	longDeadline  = 10 * time.Second
+	runSigma      = 0.6 // of the logarithm of run times
+	localDelay    = 100 * time.Microsecond
+	domainDelay   = 500 * time.Microsecond
+	heartbeat     = 2 * time.Second
+	domains       = 3
+	customers     = 12
+)
+
+// NewScenario returns a run of the complete request path with 3 entries and 11
+// upstreams at constant load.
+func NewScenario(load float64) Scenario {
+	cfg := slots.DefaultConfig()
+	return Scenario{
+		Control: admission.DefaultConfig(11*cfg.Slots, 3),
+		Entries: 3, Upstreams: 11, LongShare: 0.1, Admission: true, SlowFactor: 1,
+		Load:     func(time.Duration) float64 { return load },
+		Duration: 30 * time.Second, From: 5 * time.Second, To: 30 * time.Second,
+		Slots: cfg,
+	}
+}
+
+// Swing returns a scenario whose load rises by a factor at 10 s for 10 s. The
+// figures cover the crest.
+func Swing(base, factor float64) Scenario {
+	s := NewScenario(base)
+	s.Load = func(since time.Duration) float64 {
+		if since >= 10*time.Second && since < 20*time.Second {
+			return base * factor
+		}
+		return base
+	}
+	s.From, s.To = 10*time.Second, 20*time.Second
+	return s
+}
+
+// meanRun is the expected run time over the mix.
+func (s Scenario) meanRun() time.Duration {
+	return time.Duration(float64(shortMean)*(1-s.LongShare) + float64(longMean)*s.LongShare)
+}
+
+// interval draws the time to the next arrival of a Poisson process.
+func (s Scenario) interval(since time.Duration, rng *rand.Rand) time.Duration {
+	capacity := float64(s.Upstreams*s.Slots.Slots) / s.meanRun().Seconds()
+	return time.Duration(rng.ExpFloat64() / (capacity * s.Load(since)) * float64(time.Second))
+}
+
+// draw returns a run time with the given mean from a log-normal distribution.
+func draw(mean time.Duration, rng *rand.Rand) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(runSigma*rng.NormFloat64()-runSigma*runSigma/2))
+}
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -2,7 +2,8 @@
 //
 // The default policy draws two upstreams at random and takes the one with the
 // shorter expected wait. The expected wait rests on the last report of the
-// upstream plus the requests this entry has sent since. Other entries act on the
+// upstream plus the requests this entry has sent since. An upstream that runs
+// requests much slower than the others is charged the difference. Other entries act on the
 // same late report at the same time, so the own requests are counted once per
 // entry. Upstreams of the local failure domain are drawn first; a request
 // spills over when the local wait exceeds a remote one by more than the hop.
@@ -43,6 +44,10 @@
 	Hop time.Duration
 	// Entries is the number of entries that send to the same upstreams.
 	Entries int
+	// SlowdownBand is the ratio of an upstream's run times to the average below
+	// which it counts as normal: run times scatter, and noise must not override
+	// the expected wait.
+	SlowdownBand float64
 	// Typical is the run time assumed for a class until one was measured.
 	Typical [classes]time.Duration
 }
@@ -51,7 +56,8 @@
 func DefaultConfig(domain string, entries int) Config {
 	return Config{
 		Domain: domain, Hop: time.Millisecond, Entries: entries,
-		Typical: [classes]time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second},
+		SlowdownBand: 1.5,
+		Typical:      [classes]time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second},
 	}
 }
 
@@ -90,6 +96,9 @@
 	report   Report
 	since    [classes]int32 // own requests sent since the report
 	inFlight int32          // own requests without an answer
+	// slowdown is the moving average of run time / expected run time.
+	slowdown float64
+	sampled  bool // slowdown was updated since the last report
 }
 
 // Router holds the view of one entry. Create it with New.
@@ -102,12 +111,24 @@
 	// local and remote hold the eligible upstreams by failure domain.
 	local, remote []Handle
 	run           [classes]time.Duration // moving average of measured run times
+	slowdown      float64                // moving average over all upstreams
 }
 
+const (
+	// slowdownGain is the weight of a sample in an upstream's slowdown.
+	slowdownGain = 1.0 / 16
+	// slowdownRange bounds one sample, so that a single outlier does not decide.
+	slowdownRange = 8.0
+	// slowdownRecovery is the share by which the slowdown returns to normal per
+	// report without a sample. An avoided upstream sends only heartbeats and
+	// would otherwise be avoided for ever.
+	slowdownRecovery = 1.0 / 8
+)
+
 // New returns a Router without upstreams.
 func New(cfg Config, rng *rand.Rand) *Router {
 	cfg.Entries = max(cfg.Entries, 1)
-	return &Router{cfg: cfg, rng: rng, index: make(map[string]Handle), run: cfg.Typical}
+	return &Router{cfg: cfg, rng: rng, index: make(map[string]Handle), run: cfg.Typical, slowdown: 1}
 }
 
 // Add adds an Eligible upstream, or updates the failure domain and slots of a
@@ -121,7 +142,7 @@
 			h = Handle(len(r.ups))
 			r.ups = append(r.ups, upstream{})
 		}
-		r.ups[h] = upstream{id: id}
+		r.ups[h] = upstream{id: id, slowdown: 1}
 		r.index[id] = h
 	}
 	u := &r.ups[h]
@@ -172,6 +193,10 @@
 	u := &r.ups[h]
 	u.report = rep
 	u.since = [classes]int32{}
+	if !u.sampled {
+		u.slowdown += (r.slowdown - u.slowdown) * slowdownRecovery
+	}
+	u.sampled = false
 }
 
 // Sent records that a request goes to the upstream.
@@ -182,13 +207,20 @@
 }
 
 // Returned records the end of a request that was recorded with Sent. Run is the
-// measured run time, 0 if the request did not run or failed.
-func (r *Router) Returned(h Handle, class structs.SizeClass, run time.Duration) {
+// measured run time, 0 if the request did not run or failed; expected is its
+// learned run time, 0 if there is none. Call it before Report of the same answer.
+func (r *Router) Returned(h Handle, class structs.SizeClass, run, expected time.Duration) {
 	u := &r.ups[h]
 	u.inFlight--
 	if run > 0 {
 		r.run[class] += (run - r.run[class]) / 32
 	}
+	if run > 0 && expected > 0 {
+		sample := min(max(float64(run)/float64(expected), 1/slowdownRange), slowdownRange)
+		u.slowdown += (sample - u.slowdown) * slowdownGain
+		r.slowdown += (sample - r.slowdown) * slowdownGain / 16
+		u.sampled = true
+	}
 	r.release(h)
 }
 
@@ -223,7 +255,7 @@
 }
 
 // better draws two distinct upstreams and returns the one with the shorter
-// expected wait; equal waits are decided by the share of slots in use.
+// expected cost; equal costs are decided by the share of slots in use.
 func (r *Router) better(set []Handle, class structs.SizeClass, avoid Handle) (Handle, time.Duration) {
 	n := len(set)
 	if n == 0 {
@@ -257,9 +289,18 @@
 	return a, waitA
 }
 
-// expect returns the expected wait at an upstream and the requests it is
-// expected to hold.
+// expect returns the expected cost at an upstream and the requests it is
+// expected to hold. The cost is the wait, plus the time by which the request runs
+// longer than elsewhere if the upstream is slow.
 func (r *Router) expect(h Handle, class structs.SizeClass) (time.Duration, int32) {
+	wait, pending := r.wait(h, class)
+	if slow := r.ups[h].slowdown / r.slowdown; slow > r.cfg.SlowdownBand {
+		wait += time.Duration(float64(r.run[class]) * (slow - 1))
+	}
+	return wait, pending
+}
+
+func (r *Router) wait(h Handle, class structs.SizeClass) (time.Duration, int32) {
 	u := &r.ups[h]
 	entries := int32(r.cfg.Entries)
 	sent := entries * (u.since[0] + u.since[1] + u.since[2])
