Report run times from the agent and set the API's limits in the demonstration

Cause: every request was refused with code 1002, because the demonstration's HTTP server had a body limit of 0; answers also carried no run time, so nothing was learned from them. Change: limits from the settings' defaults; answers carry the wait in the queue and the run time of the upstream.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -22,7 +22,7 @@
 	slots    *slots.Scheduler
 	classes  *classify.Classifier
 	runs     map[string]*requestRun
-	waiters  map[dedup.Waiter]chan<- structs.Answer
+	waiters  map[dedup.Waiter]chan<- reply
 	waiterID dedup.Waiter
 
 	sessions map[string]*entrySession // by dialled address
@@ -54,7 +54,7 @@
 		slots:    slots.New(slotConfig),
 		classes:  classify.New(classify.DefaultConfig()),
 		runs:     map[string]*requestRun{},
-		waiters:  map[dedup.Waiter]chan<- structs.Answer{},
+		waiters:  map[dedup.Waiter]chan<- reply{},
 		sessions: map[string]*entrySession{},
 		config:   propagation.NewReplica(),
 	}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -34,9 +34,7 @@
 	if err != nil {
 		return
 	}
-	answers := make(chan structs.Answer, 1)
-	started := time.Now()
-	var run time.Duration
+	answers := make(chan reply, 1)
 	switch body := frame.Body.(type) {
 	case *pb.Frame_Request:
 		a.do(ctx, func(c *control) { c.arrive(body.Request, answers) })
@@ -47,19 +45,25 @@
 	}
 	select {
 	case <-ctx.Done():
-	case answer := <-answers:
-		a.respond(ctx, stream, answer, started, run)
+	case r := <-answers:
+		a.respond(ctx, stream, r)
 	}
 }
 
-func (a *Agent) respond(ctx context.Context, stream *wire.Stream, answer structs.Answer, started time.Time, run time.Duration) {
+// reply is an answer with the times of the run that gave it, 0 if none did.
+type reply struct {
+	structs.Answer
+	wait, run time.Duration
+}
+
+func (a *Agent) respond(ctx context.Context, stream *wire.Stream, answer reply) {
 	load := make(chan *pb.Load, 1)
 	if !a.do(ctx, func(c *control) { load <- c.load() }) {
 		return
 	}
 	response := &pb.Response{
 		Id: answer.RequestID, Code: uint32(answer.Code), Detail: answer.Detail, Body: answer.Body,
-		RunUs: uint64(run.Microseconds()), WaitUs: uint64(time.Since(started).Microseconds()),
+		RunUs: uint64(answer.run.Microseconds()), WaitUs: uint64(answer.wait.Microseconds()),
 	}
 	select {
 	case response.Load = <-load:
@@ -72,11 +76,11 @@
 }
 
 // arrive handles a request from an entry.
-func (c *control) arrive(req *pb.Request, answers chan<- structs.Answer) {
+func (c *control) arrive(req *pb.Request, answers chan<- reply) {
 	now := time.Now()
 	if req.Incarnation != c.agent.opts.Node.Incarnation {
 		// An earlier incarnation may have run it.
-		answers <- structs.Answer{RequestID: req.Id, Code: rescode.AgentLost}
+		answers <- reply{Answer: structs.Answer{RequestID: req.Id, Code: rescode.AgentLost}}
 		return
 	}
 	w := c.register(answers)
@@ -103,13 +107,13 @@
 }
 
 // resolve answers what the record knows of a request id.
-func (c *control) resolve(r *pb.Resolve, answers chan<- structs.Answer) {
+func (c *control) resolve(r *pb.Resolve, answers chan<- reply) {
 	w := c.register(answers)
 	verdict, dropped := c.record.Resolve(time.Now(), r.Id, time.UnixMicro(r.IssuedUnixUs), r.Tombstone, r.Wait, w)
 	if verdict.State == dedup.Tombstoned {
 		c.slots.Cancel(r.Id)
 		delete(c.runs, r.Id)
-		c.deliver(dropped, verdict.Answer)
+		c.deliver(dropped, reply{Answer: verdict.Answer})
 	}
 	if !r.Wait && (verdict.State == dedup.Queued || verdict.State == dedup.Running) {
 		verdict.Answer = structs.Answer{RequestID: r.Id, Code: rescode.StillRunning}
@@ -120,7 +124,7 @@
 }
 
 // register remembers a stream that may have to wait for an answer.
-func (c *control) register(answers chan<- structs.Answer) dedup.Waiter {
+func (c *control) register(answers chan<- reply) dedup.Waiter {
 	c.waiterID++
 	c.waiters[c.waiterID] = answers
 	return c.waiterID
@@ -131,10 +135,10 @@
 	if verdict.State == dedup.Queued || verdict.State == dedup.Running {
 		return
 	}
-	c.deliver([]dedup.Waiter{w}, verdict.Answer)
+	c.deliver([]dedup.Waiter{w}, reply{Answer: verdict.Answer})
 }
 
-func (c *control) deliver(waiters []dedup.Waiter, answer structs.Answer) {
+func (c *control) deliver(waiters []dedup.Waiter, answer reply) {
 	for _, w := range waiters {
 		if answers, ok := c.waiters[w]; ok {
 			answers <- answer
@@ -147,7 +151,7 @@
 	waiters, answer := c.record.Refuse(time.Now(), id, code)
 	delete(c.runs, id)
 	c.agent.metrics.refused.Add(1)
-	c.deliver(waiters, answer)
+	c.deliver(waiters, reply{Answer: answer})
 }
 
 // pump starts every request that may start now.
@@ -201,7 +205,7 @@
 	span.SetAttributes(attribute.Int("code", int(answer.Code)))
 	took := time.Since(run.started)
 	a.metrics.ran.Add(1)
-	a.do(ctx, func(c *control) { c.finish(req.Id, answer, took) })
+	a.do(ctx, func(c *control) { c.finish(run, answer, took) })
 	if answer.Code == rescode.AnswerLost {
 		select {
 		case <-time.After(uncertainHold):
@@ -228,8 +232,8 @@
 	return answer
 }
 
-func (c *control) finish(id string, answer structs.Answer, _ time.Duration) {
-	delete(c.runs, id)
+func (c *control) finish(run *requestRun, answer structs.Answer, took time.Duration) {
+	delete(c.runs, run.request.Id)
 	waiters, stored := c.record.Finish(time.Now(), answer)
-	c.deliver(waiters, stored)
+	c.deliver(waiters, reply{Answer: stored, wait: run.started.Sub(run.arrived), run: took})
 }
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -17,6 +17,7 @@
 	"vanillalock.example/vanillalock/internal/entry"
 	"vanillalock.example/vanillalock/internal/kv"
 	"vanillalock.example/vanillalock/internal/obs"
+	"vanillalock.example/vanillalock/internal/settings"
 	standinkv "vanillalock.example/vanillalock/internal/standin/kv"
 	standinupstream "vanillalock.example/vanillalock/internal/standin/upstream"
 	standinworker "vanillalock.example/vanillalock/internal/standin/worker"
@@ -215,7 +216,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	r := &RunningEntry{
 		Entry: e, URL: url, Session: session.Addr().String(), stop: cancel, done: make(chan struct{}),
-		server: &http.Server{Handler: api.NewHandler(e, api.Limits{Metrics: true}, s.options.Log.WithPrefix("api")), ReadHeaderTimeout: 5 * time.Second},
+		server: &http.Server{Handler: api.NewHandler(e, api.Limits{MaxBodyBytes: settings.MaxBodyBytes, MaxTimeout: settings.MaxRequestTimeout, Metrics: true}, s.options.Log.WithPrefix("api")), ReadHeaderTimeout: 5 * time.Second},
 	}
 	s.Entries = append(s.Entries, r)
 	s.wg.Go(func() { _ = r.server.Serve(http1) })
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -154,7 +154,7 @@
 		learned = r.ranFor
 		c.classes.Observe(r.request.Template, r.request.Customer, r.ranFor)
 	}
-	c.router.Returned(t.handle, r.estimate.Class, learned)
+	c.router.Returned(t.handle, r.estimate.Class, learned, r.learned())
 	if ran || code == rescode.NoUpstream || code == rescode.AnswerLost {
 		c.observe(t.agent, code != rescode.OK)
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -302,7 +302,7 @@
 
 // release takes back a pick that was not used.
 func (e *Entry) release(r *run, t target) {
-	e.do(e.ctx, func(c *control) { c.router.Returned(t.handle, r.estimate.Class, 0) })
+	e.do(e.ctx, func(c *control) { c.router.Returned(t.handle, r.estimate.Class, 0, 0) })
 }
 
 func (e *Entry) agentSession(agent string) (*wire.Session, uint64, bool) {
@@ -343,7 +343,7 @@
 // lost records an attempt whose session ended before its answer.
 func (e *Entry) lost(r *run, t target, failed bool) {
 	e.do(e.ctx, func(c *control) {
-		c.router.Returned(t.handle, r.estimate.Class, 0)
+		c.router.Returned(t.handle, r.estimate.Class, 0, 0)
 		if failed {
 			c.observe(t.agent, true)
 		}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -42,6 +42,14 @@
 	congested   bool
 }
 
+// learned is the run time expected from measurements, 0 if there are none.
+func (r *run) learned() time.Duration {
+	if r.item.Measured {
+		return r.estimate.Expected
+	}
+	return 0
+}
+
 // SubmitRequest implements api.Service.
 func (e *Entry) SubmitRequest(ctx context.Context, in api.RequestInput) (structs.Answer, error) {
 	ctx, span := e.opts.Tracer.Start(ctx, "entry.request", trace.WithAttributes(attribute.String("template", in.Template)))
@@ -172,7 +180,7 @@
 		}
 		r := c.runs[item.ID]
 		if r == nil {
-			c.admission.Done(time.Now(), admission.Result{})
+			c.admission.Done(time.Now(), admission.Result{Urgent: item.Urgent})
 			continue
 		}
 		c.dispatched++
@@ -184,7 +192,7 @@
 func (c *control) finished(r *run, answer structs.Answer) {
 	c.dispatched--
 	c.admission.Done(time.Now(), admission.Result{
-		Ran: r.ranFor > 0, Wait: r.wait, Run: r.ranFor, Congested: r.congested,
+		Urgent: r.item.Urgent, Ran: r.ranFor > 0, Wait: r.wait, Run: r.ranFor, Congested: r.congested,
 	})
 	c.complete(r, answer)
 	c.pump()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -162,12 +162,12 @@
 
 func (c *control) status() api.EntryStatus {
 	e := c.entry
-	urgent, batch, inFlight, _ := c.admission.Load()
+	urgent, batch := c.admission.Load()
 	out := api.EntryStatus{
 		Entry: e.incarnation, FailureDomain: e.opts.FailureDomain, Ready: c.loaded && !c.leaving, Leaving: c.leaving,
 		StoreContact:   e.now()-c.jobs.readAt < 3*time.Second && c.jobs.readAt > 0,
 		ConfigRevision: c.source.Revision(), MembersEpoch: c.verifier.Epoch(),
-		InFlight: inFlight, Queued: urgent + batch, Tasks: map[string]int{},
+		InFlight: urgent.InFlight + batch.InFlight, Queued: urgent.Queued + batch.Queued, Tasks: map[string]int{},
 	}
 	if n := len(c.jobs.members); n > 0 {
 		out.Members = c.jobs.members[n-1].Members
