--- a/internal/api/apitest/fake.go
+++ b/internal/api/apitest/fake.go
@@ -21,6 +21,7 @@
 	Answer    structs.Answer
 	AnswerErr error
 	Panic     bool
+	Before    func(context.Context) // called by SubmitRequest
 	NotReady  bool
 	Requests  []api.RequestInput
 	JobInputs []api.JobInput
@@ -37,7 +38,10 @@
 }
 
 // SubmitRequest implements api.Service.
-func (s *Service) SubmitRequest(_ context.Context, in api.RequestInput) (structs.Answer, error) {
+func (s *Service) SubmitRequest(ctx context.Context, in api.RequestInput) (structs.Answer, error) {
+	if s.Before != nil {
+		s.Before(ctx)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Panic {
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -1,7 +1,9 @@
 package api_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -107,6 +109,39 @@
 	assert.Equal(t, `{"templates":[]}`, serve(h, "GET", "/v1/templates", "").Body.String())
 }
 
+// Guards against a caller that holds a connection with half a body, and against
+// a body timeout that cancels a request while it runs.
+func TestBodyTimeout(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	fake := apitest.New()
+	var cancelled error
+	fake.Before = func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			cancelled = ctx.Err()
+		case <-time.After(3 * timeout):
+		}
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = api.NewServer(api.NewHandler(fake, api.Limits{MaxBodyBytes: 4096, MaxTimeout: time.Minute, BodyTimeout: timeout}, obs.DiscardLogger()))
+	server.Start()
+	defer server.Close()
+
+	half, unwritten := io.Pipe()
+	defer unwritten.Close()
+	response, err := http.Post(server.URL+"/v1/requests", "application/json", half)
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, 400, response.StatusCode)
+	assert.Empty(t, fake.Requests)
+
+	response, err = http.Post(server.URL+"/v1/requests", "application/json", strings.NewReader(`{"template":"t","customer":"c"}`))
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, 200, response.StatusCode)
+	assert.NoError(t, cancelled)
+}
+
 // Guards against load that is sent to an entry that is not ready, and against
 // metrics that are not valid JSON.
 func TestOperationalEndpoints(t *testing.T) {
