Use the server's read timeout for request bodies

The per-body deadline is replaced by ReadTimeout, 30 s for headers and body. The test is as strict as before: half a body is refused, and a request that runs three times the read timeout is not cancelled.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"expvar"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -23,24 +22,21 @@
 	MaxBodyBytes int64
 	MaxTimeout   time.Duration
 	Metrics      bool // serve /debug/vars
-	// BodyTimeout bounds the time to read a body; 0 means 30 s.
-	BodyTimeout time.Duration
 }
 
 // Bounds of a connection of a caller. There is no write timeout, because a
 // request may run for minutes.
 const (
 	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 30 * time.Second
+	readTimeout    = 30 * time.Second // headers and body
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 * 1024
 )
 
-// NewServer returns the HTTP server for a handler made by NewHandler. Its
-// ReadTimeout stays unset: it would also cancel a request that is running.
+// NewServer returns the HTTP server for a handler made by NewHandler.
 func NewServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
@@ -55,9 +51,6 @@
 // NewHandler returns the HTTP API over the service.
 func NewHandler(service Service, limits Limits, logger *log.Logger) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
-	if limits.BodyTimeout == 0 {
-		limits.BodyTimeout = bodyTimeout
-	}
 	s := &server{service, limits, logger}
 	g := gin.New()
 	g.HandleMethodNotAllowed = true
@@ -163,32 +156,8 @@
 	c.JSON(HTTPStatus(code), body)
 }
 
-// body returns the request body with a time limit, which ends with the body:
-// a later one would cancel the request while it runs.
-func (s *server) body(c *gin.Context) io.Reader {
-	control := http.NewResponseController(c.Writer)
-	// A writer without deadlines, as in tests, reads without a limit.
-	_ = control.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
-	return &timedBody{c.Request.Body, func() { _ = control.SetReadDeadline(time.Time{}) }}
-}
-
-// timedBody calls done at the end of the body.
-type timedBody struct {
-	io.Reader
-	done func()
-}
-
-// Read implements io.Reader.
-func (b *timedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.done()
-	}
-	return n, err
-}
-
 func (s *server) submitRequest(c *gin.Context) {
-	in, err := readRequest(s.body(c), c.Request.Header, s.limits)
+	in, err := readRequest(c.Request.Body, c.Request.Header, s.limits)
 	if err != nil {
 		s.fail(c, err)
 		return
@@ -215,7 +184,7 @@
 }
 
 func (s *server) submitJob(c *gin.Context) {
-	in, err := readJob(s.body(c), c.Request.Header, s.limits)
+	in, err := readJob(c.Request.Body, c.Request.Header, s.limits)
 	if err != nil {
 		s.fail(c, err)
 		return
@@ -300,7 +269,7 @@
 	var object T
 	expected, err := readVersion(c.Request.Header)
 	if err == nil {
-		err = decode(s.body(c), s.limits.MaxBodyBytes, &object)
+		err = decode(c.Request.Body, s.limits.MaxBodyBytes, &object)
 	}
 	if err == nil {
 		err = first(nameOf(c, calls.name(&object)), calls.check(object))
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -110,8 +110,8 @@
 }
 
 // Guards against a caller that holds a connection with half a body, and against
-// a body timeout that cancels a request while it runs.
-func TestBodyTimeout(t *testing.T) {
+// a read timeout that cancels a request while it runs.
+func TestReadTimeout(t *testing.T) {
 	const timeout = 100 * time.Millisecond
 	fake := apitest.New()
 	var cancelled error
@@ -123,7 +123,9 @@
 		}
 	}
 	server := httptest.NewUnstartedServer(nil)
-	server.Config = api.NewServer(api.NewHandler(fake, api.Limits{MaxBodyBytes: 4096, MaxTimeout: time.Minute, BodyTimeout: timeout}, obs.DiscardLogger()))
+	server.Config = api.NewServer(api.NewHandler(fake, api.Limits{MaxBodyBytes: 4096, MaxTimeout: time.Minute}, obs.DiscardLogger()))
+	require.NotZero(t, server.Config.ReadTimeout)
+	server.Config.ReadTimeout = timeout
 	server.Start()
 	defer server.Close()
 
