Let job submit override the template's resources

JobInput carries resources that the command line could not set. A test also covers codes and fields of errors that the service returns, wrapped or without a code.

--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,6 +82,23 @@
 	assert.Empty(t, fake.JobInputs)
 }
 
+// Guards against a rejection of the service that loses its code or field, also
+// when it is wrapped, and against an error without a code that claims not run.
+func TestServiceErrors(t *testing.T) {
+	fake := apitest.New()
+	h := newHandler(fake)
+	for err, want := range map[error]string{
+		rescode.FieldErrorf(rescode.UnknownTemplate, "template", "t is unknown"):                `{"code":1003,"message":"t is unknown","field":"template","outcome":"not_run"}`,
+		fmt.Errorf("admission: %w", rescode.Errorf(rescode.Overloaded, "4096 requests queued")): `{"code":2001,"message":"4096 requests queued","outcome":"not_run"}`,
+		errors.New("plain"): `{"code":5001,"message":"plain","outcome":"unknown"}`,
+	} {
+		fake.AnswerErr = err
+		w := serve(h, "POST", "/v1/requests", `{"template":"t","customer":"c"}`)
+		assert.Equal(t, api.HTTPStatus(rescode.Of(err)), w.Code)
+		assert.JSONEq(t, want, w.Body.String())
+	}
+}
+
 // Guards against a process that ends with a panic of one handler.
 func TestPanicAnswers(t *testing.T) {
 	fake := apitest.New()
--- a/internal/command/clients.go
+++ b/internal/command/clients.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -164,6 +165,9 @@
 	Template  string            `required:"" help:"Name of the template."`
 	Customer  string            `required:"" help:"Name of the customer."`
 	Count     int               `default:"1" help:"Number of tasks."`
+	MilliCPU  *int64            `name:"milli-cpu" and:"resources" help:"Processors of a task in thousandths of a core; with --memory-mb replaces the template's resources."`
+	MemoryMB  *int64            `name:"memory-mb" and:"resources" help:"Memory of a task in MiB."`
+	Devices   int64             `name:"accelerators" help:"Accelerators of a task, with --milli-cpu and --memory-mb."`
 	Key       string            `help:"Idempotency key: a repeated submission returns the same job."`
 	Parameter map[string]string `short:"p" help:"Parameter, NAME=VALUE; may be repeated." placeholder:"NAME=VALUE"`
 }
@@ -176,6 +180,12 @@
 // Run submits the job.
 func (c jobSubmitCmd) Run(s *state) error {
 	in := api.JobInput{Key: c.Key, Template: c.Template, Customer: c.Customer, Count: c.Count, Parameters: c.Parameter}
+	switch {
+	case c.MilliCPU != nil && c.MemoryMB != nil:
+		in.Resources = &structs.Resources{MilliCPU: *c.MilliCPU, MemoryMB: *c.MemoryMB, Accelerators: c.Devices}
+	case c.Devices != 0:
+		return usageError{errors.New("--accelerators requires --milli-cpu and --memory-mb")}
+	}
 	return c.call(s, func(ctx context.Context, cl *client.Client) error {
 		job, err := cl.SubmitJob(ctx, in)
 		if err != nil {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -18,6 +18,7 @@
 	"vanillalock.example/vanillalock/internal/api/apitest"
 	"vanillalock.example/vanillalock/internal/obs"
 	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/structs"
 )
 
 func run(r Runners, stdin string, args ...string) (code int, out, errOut string) {
@@ -109,8 +110,11 @@
 	do(ExitNotRun, "", "1009", "template", "get", "t")
 	do(ExitOK, `{"name":"c","team":"x"}`, `"team": "x"`, "customer", "set", "-f", "-")
 	do(ExitOK, "", `"customers": [`, "customer", "list", "--output", "json")
-	do(ExitOK, "", "queued:1", "job", "submit", "--template", "t", "--customer", "c", "--count", "2", "--key", "k", "-p", "a=1")
-	assert.Equal(t, []api.JobInput{{Key: "k", Template: "t", Customer: "c", Count: 2, Parameters: map[string]string{"a": "1"}}}, fake.JobInputs)
+	do(ExitOK, "", "queued:1", "job", "submit", "--template", "t", "--customer", "c", "--count", "2", "--key", "k", "-p", "a=1",
+		"--milli-cpu", "500", "--memory-mb", "64")
+	do(ExitUsage, "", "--accelerators requires", "job", "submit", "--template", "t", "--customer", "c", "--accelerators", "1")
+	assert.Equal(t, []api.JobInput{{Key: "k", Template: "t", Customer: "c", Count: 2, Parameters: map[string]string{"a": "1"},
+		Resources: &structs.Resources{MilliCPU: 500, MemoryMB: 64}}}, fake.JobInputs)
 	do(ExitOK, "", "j1", "job", "list")
 	do(ExitOK, "", "j1", "job", "status", "j1")
 	do(ExitOK, "", "cancelled:1", "job", "cancel", "j1")
