--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -24,6 +24,23 @@
 	Metrics      bool // serve /debug/vars
 }
 
+// Bounds of a connection of a caller. There is no write timeout, because a
+// request may run for minutes.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 30 * time.Second // headers and body
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 * 1024
+)
+
+// NewServer returns the HTTP server for a handler made by NewHandler.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // server holds what the handlers need.
 type server struct {
 	service Service
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -1,7 +1,10 @@
 package api_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,6 +82,23 @@
 	assert.Empty(t, fake.JobInputs)
 }
 
+// Guards against a rejection of the service that loses its code or field, also
+// when it is wrapped, and against an error without a code that claims not run.
+func TestServiceErrors(t *testing.T) {
+	fake := apitest.New()
+	h := newHandler(fake)
+	for err, want := range map[error]string{
+		rescode.FieldErrorf(rescode.UnknownTemplate, "template", "t is unknown"):                `{"code":1003,"message":"t is unknown","field":"template","outcome":"not_run"}`,
+		fmt.Errorf("admission: %w", rescode.Errorf(rescode.Overloaded, "4096 requests queued")): `{"code":2001,"message":"4096 requests queued","outcome":"not_run"}`,
+		errors.New("plain"): `{"code":5001,"message":"plain","outcome":"unknown"}`,
+	} {
+		fake.AnswerErr = err
+		w := serve(h, "POST", "/v1/requests", `{"template":"t","customer":"c"}`)
+		assert.Equal(t, api.HTTPStatus(rescode.Of(err)), w.Code)
+		assert.JSONEq(t, want, w.Body.String())
+	}
+}
+
 // Guards against a process that ends with a panic of one handler.
 func TestPanicAnswers(t *testing.T) {
 	fake := apitest.New()
@@ -107,6 +127,42 @@
 	assert.Equal(t, `{"templates":[]}`, serve(h, "GET", "/v1/templates", "").Body.String())
 }
 
+// Guards against a caller that holds a connection with half a body, and against
+// a read timeout that cancels a request while it runs.
+func TestReadTimeout(t *testing.T) {
+	// A stall of the machine below this time does not change the verdict.
+	const timeout = time.Second
+	fake := apitest.New()
+	var cancelled error
+	fake.Before = func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			cancelled = ctx.Err()
+		case <-time.After(2 * timeout):
+		}
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = api.NewServer(api.NewHandler(fake, api.Limits{MaxBodyBytes: 4096, MaxTimeout: time.Minute}, obs.DiscardLogger()))
+	require.NotZero(t, server.Config.ReadTimeout)
+	server.Config.ReadTimeout = timeout
+	server.Start()
+	defer server.Close()
+
+	half, unwritten := io.Pipe()
+	defer unwritten.Close()
+	response, err := http.Post(server.URL+"/v1/requests", "application/json", half)
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, 400, response.StatusCode)
+	assert.Empty(t, fake.Requests)
+
+	response, err = http.Post(server.URL+"/v1/requests", "application/json", strings.NewReader(`{"template":"t","customer":"c"}`))
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, 200, response.StatusCode)
+	assert.NoError(t, cancelled)
+}
+
 // Guards against load that is sent to an entry that is not ready, and against
 // metrics that are not valid JSON.
 func TestOperationalEndpoints(t *testing.T) {
