Report an answer as unknown while an entry that may hold it is out of reach

Change: code 1009 needs an answer of every live entry from a fresh list; otherwise the outcome is unknown. The status lists the peers, and the demonstration waits for them. Conclusion: the error was a false statement about other entries, not only a matter of the test's timing.

--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -40,6 +40,7 @@
 	ConfigRevision uint64           `json:"config_revision"`
 	MembersEpoch   uint64           `json:"members_epoch"`
 	Members        []string         `json:"members"`
+	Peers          []string         `json:"peers"` // other live entries
 	OwnedShards    []uint32         `json:"owned_shards"`
 	InFlight       int              `json:"in_flight"`
 	Queued         int              `json:"queued"`
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -343,7 +343,7 @@
 		if err != nil || cerr != nil || len(templates) < len(s.Deployment.Templates) || len(customers) < len(s.Deployment.Customers) {
 			return false
 		}
-		if len(aliveOf(status)) < s.options.VMs {
+		if len(aliveOf(status)) < s.options.VMs || len(status.Peers) < len(s.Entries)-1 {
 			return false
 		}
 		shards += len(status.OwnedShards)
--- a/internal/entry/jobcalls.go
+++ b/internal/entry/jobcalls.go
@@ -205,7 +205,7 @@
 // submit adds a job to a shard. While the shard's log cannot be written it is
 // refused, so that nothing is accepted that may be lost.
 func (j *jobControl) submit(s *ownedShard, job structs.Job) (structs.Job, chan error, error) {
-	if s.failing || j.c.entry.now()-j.readAt > 3*storeInterval {
+	if s.failing || !j.c.storeContact() {
 		return structs.Job{}, nil, rescode.Errorf(rescode.StoreUnavailable, "the key-value service does not answer")
 	}
 	out, _, err := s.state.Submit(job, time.Now())
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -142,13 +142,31 @@
 	return stream.Receive(timeout)
 }
 
-func (e *Entry) askPeerForAnswer(ctx context.Context, peer peerRecord, id string) (structs.Answer, bool) {
+// askPeerForAnswer asks another entry for an answer; NotFound means that it
+// holds none.
+func (e *Entry) askPeerForAnswer(ctx context.Context, peer peerRecord, id string) (structs.Answer, error) {
 	reply, err := e.callPeer(ctx, peer, &pb.Frame{Body: &pb.Frame_Resolve{Resolve: &pb.Resolve{Id: id}}}, peerTimeout)
-	if err != nil || reply.GetResponse() == nil || rescode.Code(reply.GetResponse().Code) == rescode.NotFound {
-		return structs.Answer{}, false
+	if err != nil {
+		return structs.Answer{}, err
 	}
 	r := reply.GetResponse()
-	return withOutcome(structs.Answer{RequestID: id, Code: rescode.Code(r.Code), Detail: r.Detail, Body: r.Body}), true
+	if r == nil {
+		return structs.Answer{}, errUnexpectedFrame
+	}
+	if rescode.Code(r.Code) == rescode.NotFound {
+		return structs.Answer{}, rescode.Errorf(rescode.NotFound, "entry %s holds no answer", peer.ID)
+	}
+	return withOutcome(structs.Answer{RequestID: id, Code: rescode.Code(r.Code), Detail: r.Detail, Body: r.Body}), nil
+}
+
+// storeContact reports whether the list of live entries is fresh.
+func (e *Entry) storeContact(ctx context.Context) bool {
+	fresh, ok := ask(ctx, e, func(c *control) bool { return c.storeContact() })
+	return ok && fresh
+}
+
+func (c *control) storeContact() bool {
+	return c.jobs.readAt > 0 && c.entry.now()-c.jobs.readAt < 3*storeInterval
 }
 
 func codedError(err error) *rescode.Error {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -238,16 +238,25 @@
 }
 
 // FetchAnswer implements api.Service. An answer that this entry does not hold
-// is asked for at the other entries.
+// is asked for at the other entries. NotFound means that every live entry was
+// asked; if one could not be, the outcome stays unknown.
 func (e *Entry) FetchAnswer(ctx context.Context, requestID string) (structs.Answer, error) {
 	answer, known := e.localAnswer(ctx, requestID)
 	if known {
 		return answer, nil
 	}
+	unreachable := false
 	for _, peer := range e.peers(ctx) {
-		if answer, ok := e.askPeerForAnswer(ctx, peer, requestID); ok {
+		answer, err := e.askPeerForAnswer(ctx, peer, requestID)
+		if err == nil {
 			return answer, nil
 		}
+		if rescode.Of(err) != rescode.NotFound {
+			unreachable = true
+		}
+	}
+	if unreachable || !e.storeContact(ctx) {
+		return structs.Answer{RequestID: requestID, Outcome: rescode.Unknown, Code: rescode.AnswerLost, Detail: "an entry that may hold the answer does not answer"}, nil
 	}
 	return structs.Answer{}, rescode.FieldErrorf(rescode.NotFound, "id", "no entry holds an answer for %q", requestID)
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -165,9 +165,9 @@
 	urgent, batch := c.admission.Load()
 	out := api.EntryStatus{
 		Entry: e.incarnation, FailureDomain: e.opts.FailureDomain, Ready: c.loaded && !c.leaving, Leaving: c.leaving,
-		StoreContact:   e.now()-c.jobs.readAt < 3*time.Second && c.jobs.readAt > 0,
+		StoreContact:   c.storeContact(),
 		ConfigRevision: c.source.Revision(), MembersEpoch: c.verifier.Epoch(),
-		InFlight: urgent.InFlight + batch.InFlight, Queued: urgent.Queued + batch.Queued, Tasks: map[string]int{},
+		InFlight: urgent.InFlight + batch.InFlight, Queued: urgent.Queued + batch.Queued, Tasks: map[string]int{}, Peers: c.otherEntries(),
 	}
 	if n := len(c.jobs.members); n > 0 {
 		out.Members = c.jobs.members[n-1].Members
