Make the admission limit converge and test route and limit more strictly

Cause: the increase was proportional to the limit, so entries that share the upstreams kept unequal limits: a ratio of 4.6 after 500 intervals in TestLimitsConverge. Change: a constant increase per interval. Tests recount the expected wait, the recovery of a slow upstream and the convergence of two limits. The experiment covers a failing upstream, hidden long work and long work of 4 s.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -47,7 +47,7 @@
 		Initial: share, Min: max(share/2, 1), Max: 8 * share,
 		TargetWait: 100 * time.Millisecond,
 		Interval:   100 * time.Millisecond,
-		Increase:   0.05, Decrease: 0.9,
+		Increase:   max(1, float64(share)/16), Decrease: 0.9,
 	}
 	batch := limit
 	batch.TargetWait = 500 * time.Millisecond
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -150,6 +150,39 @@
 	})
 }
 
+// Guards against entries that keep unequal shares of the same upstreams, and
+// against a limit that grows without need or leaves its bounds.
+func TestLimitsConverge(t *testing.T) {
+	cfg := DefaultConfig(88, 2).Urgent
+	cfg.Min, cfg.Max = 1, 1000
+	a, b, now := NewLimit(cfg), NewLimit(cfg), epoch
+	a.value, b.value = 100, 10
+	for range 500 { // the upstreams hold 120 requests before waits exceed the target
+		now = now.Add(cfg.Interval)
+		wait := time.Duration(0)
+		if a.Value()+b.Value() > 120 {
+			wait = cfg.TargetWait + 1
+		}
+		for _, l := range []*Limit{a, b} {
+			l.Reached()
+			l.Observe(now, wait, false)
+		}
+	}
+	assert.InDelta(t, 1, a.value/b.value, 0.1)
+	assert.InDelta(t, 120, a.value+b.value, 20)
+	before := a.Value()
+	for range 100 { // never reached: no reason to grow
+		now = now.Add(cfg.Interval)
+		a.Observe(now, 0, false)
+	}
+	assert.Equal(t, before, a.Value())
+	for range 100 {
+		now = now.Add(cfg.Interval)
+		a.Observe(now, 0, true)
+	}
+	assert.Equal(t, cfg.Min, a.Value())
+}
+
 // Guards against a quota that leaks, and against charging a refused request.
 func TestQuotaOfCustomerAndTeam(t *testing.T) {
 	c := New(DefaultConfig(8, 1))
--- a/internal/request/admission/limit.go
+++ b/internal/request/admission/limit.go
@@ -26,8 +26,9 @@
 	TargetWait time.Duration
 	// Interval between adjustments.
 	Interval time.Duration
-	// Increase is the share of the limit added per interval (at least 1);
-	// Decrease is the factor applied when more than half of the results are late.
+	// Increase is added per interval. It must not depend on the present limit, or
+	// unequal limits would stay unequal. Decrease is the factor applied when more
+	// than half of the results are late.
 	Increase, Decrease float64
 }
 
@@ -62,7 +63,7 @@
 	case 2*l.late > l.results:
 		l.value *= l.cfg.Decrease
 	case l.reached:
-		l.value += max(1, l.value*l.cfg.Increase)
+		l.value += l.cfg.Increase
 	}
 	l.value = min(max(l.value, float64(l.cfg.Min)), float64(l.cfg.Max))
 	l.results, l.late, l.reached = 0, 0, false
--- a/internal/request/experiment/figures.go
+++ b/internal/request/experiment/figures.go
@@ -16,6 +16,7 @@
 	inTime        int // answered within the deadline
 	urgentInTime  int
 	longInTime    int
+	failures      int             // attempts that an upstream failed
 	work          time.Duration   // run time of the answers within the deadline
 	latencies     []time.Duration // urgent, of answered requests
 	waits         []time.Duration // urgent, from arrival to start
@@ -78,6 +79,9 @@
 // UrgentInTime returns the share of urgent requests answered in time.
 func (f *Figures) UrgentInTime() float64 { return share(f.urgentInTime, f.urgentOffered) }
 
+// Failures returns the attempts that an upstream failed, per offered request.
+func (f *Figures) Failures() float64 { return share(f.failures, f.urgentOffered+f.longOffered) }
+
 // LongInTime returns the share of long requests answered in time.
 func (f *Figures) LongInTime() float64 { return share(f.longInTime, f.longOffered) }
 
--- a/internal/request/experiment/model.go
+++ b/internal/request/experiment/model.go
@@ -8,6 +8,7 @@
 
 	"vanillalock.example/vanillalock/internal/request/admission"
 	"vanillalock.example/vanillalock/internal/request/classify"
+	"vanillalock.example/vanillalock/internal/request/outlier"
 	"vanillalock.example/vanillalock/internal/request/retry"
 	"vanillalock.example/vanillalock/internal/request/route"
 	"vanillalock.example/vanillalock/internal/request/slots"
@@ -37,6 +38,7 @@
 	control *admission.Controller
 	sizes   *classify.Classifier
 	retries *retry.Policy
+	judge   *outlier.Detector
 }
 
 type agent struct {
@@ -94,8 +96,10 @@
 		control: admission.New(m.s.Control),
 		sizes:   classify.New(classify.DefaultConfig()),
 		retries: retry.New(retry.DefaultConfig(), rand.New(rand.NewPCG(seed, uint64(200+i)))),
+		judge:   outlier.New(outlier.DefaultConfig()),
 	}
 	for k := range m.agents {
+		e.judge.Add(strconv.Itoa(k))
 		e.router.Add(strconv.Itoa(k), domain(k), m.s.Slots.Slots)
 	}
 	return e
@@ -110,6 +114,12 @@
 	return localDelay + domainDelay
 }
 
+// measured reports whether the present is in the measured span.
+func (m *model) measured() bool {
+	since := m.now.Sub(m.start)
+	return since >= m.s.From && since < m.s.To
+}
+
 // arrive creates the next request and schedules the one after it.
 func (m *model) arrive() {
 	since := m.now.Sub(m.start)
@@ -124,8 +134,11 @@
 		run: draw(shortMean, m.rng), deadline: m.now.Add(shortDeadline),
 	}
 	if m.rng.Float64() < m.s.LongShare {
-		r.template, r.long = "render", true
-		r.run, r.deadline = draw(longMean, m.rng), m.now.Add(longDeadline)
+		r.long = true
+		r.run, r.deadline = draw(m.s.LongMean, m.rng), m.now.Add(longDeadline)
+		if !m.s.Hidden {
+			r.template = "render"
+		}
 	}
 	m.requests[r.id] = r
 	m.out.offer(m, r)
@@ -185,13 +198,17 @@
 
 func (e *entry) dispatch(r *request) {
 	r.attempts++
-	r.to = e.router.Pick(r.class, route.None)
+	r.to = e.choose(r)
 	e.router.Sent(r.to, r.class)
 	a := e.m.agents[r.to]
 	e.m.after(delay(e, a), func() { a.arrive(r) })
 }
 
 func (a *agent) arrive(r *request) {
+	if a.index < a.m.s.Failing && a.m.measured() {
+		a.m.after(failureDelay, func() { a.reply(r, rescode.UpstreamFailed) })
+		return
+	}
 	r.queuedAt = a.m.now
 	it := slots.Item{ID: r.id, Class: r.class, Urgent: !r.long, Deadline: r.deadline, Expected: r.entry.learned(r)}
 	if code := a.queue.Submit(a.m.now, it); code != rescode.OK {
@@ -216,8 +233,7 @@
 func (a *agent) begin(r *request) {
 	r.started = a.m.now
 	run := r.run
-	since := a.m.now.Sub(a.m.start)
-	if a.index < a.m.s.Slow && since >= a.m.s.From && since < a.m.s.To {
+	if a.index < a.m.s.Slow && a.m.measured() {
 		run = time.Duration(float64(run) * a.m.s.SlowFactor)
 	}
 	a.m.out.started(a.m, r)
@@ -258,6 +274,11 @@
 	for _, e := range a.m.entries {
 		a.m.after(delay(e, a), func() { e.router.Report(route.Handle(a.index), rep) })
 	}
+	for _, e := range a.m.entries {
+		for _, c := range e.judge.Advance(a.m.now) {
+			e.apply(c)
+		}
+	}
 	if a.m.now.Sub(a.m.start) < a.m.s.Duration {
 		a.m.after(heartbeat, a.beat)
 	}
@@ -276,6 +297,9 @@
 			Congested: code == rescode.SlotsFull || code == rescode.ConnectionsFull,
 		})
 	}
+	if code == rescode.OK || code == rescode.UpstreamFailed {
+		e.observe(r.to, code != rescode.OK)
+	}
 	if code == rescode.OK {
 		e.sizes.Observe(r.template, r.customer, run)
 		e.m.out.answered(e.m, r)
@@ -300,7 +324,8 @@
 // the request has waited there already.
 func (e *entry) retry(r *request, code rescode.Code) {
 	d := e.retries.Next(retry.Attempt{
-		Number: r.attempts, Code: code, Remaining: r.deadline.Sub(e.m.now), Expected: r.expected,
+		Number: r.attempts, Code: code, Idempotent: true, MayHaveRun: code == rescode.UpstreamFailed,
+		Remaining: r.deadline.Sub(e.m.now), Expected: r.expected,
 	})
 	if !d.Retry {
 		e.m.drop(r.id)
--- a/internal/request/experiment/rounds.go
+++ b/internal/request/experiment/rounds.go
@@ -73,8 +73,7 @@
 	router := func(change func(*route.Config)) func(*Scenario) {
 		return func(s *Scenario) { s.Router = change }
 	}
-	maxLong := func(n int) func(*Scenario) { return func(s *Scenario) { s.Slots.MaxLong = n } }
-	return []Round{
+	out := []Round{
 		{"swing to 1.25, target wait 20 ms", Swing(0.25, 5).with(limit(20 * time.Millisecond))},
 		{"load 4, short work only, wait factor 1", NewScenario(4).with(shortOnly).with(factor(1))},
 		{"load 1, deadline check with p90", NewScenario(1).with(func(s *Scenario) { s.HighQuantile = true })},
@@ -83,15 +82,30 @@
 		{"even swing to 0.9, all upstreams local", Swing(0.18, 5).with(router(func(c *route.Config) { c.Hop = -time.Hour }))},
 		{"swing to 0.9, 60% at one entry, expected wait", Swing(0.18, 5).with(func(s *Scenario) { s.Skew = 0.4 })},
 		{"swing to 0.9, 60% at one entry, least outstanding", Swing(0.18, 5).with(func(s *Scenario) { s.Skew = 0.4 }).with(routing(route.LeastOutstanding))},
-		{"slots at 0.9, long work in at most 3 slots", NewScenario(0.9).with(slotsOnly).with(maxLong(3))},
-		{"slots at 0.9, long work in at most 6 slots", NewScenario(0.9).with(slotsOnly).with(maxLong(6))},
 		{"load 1, one limit value for batch (20 ms)", NewScenario(1).with(func(s *Scenario) {
 			s.Control.Batch = admission.LimitConfig(s.Control.Urgent)
 			s.Control.Batch.TargetWait = 20 * time.Millisecond
 		})},
+		{"slots at 0.7, long work hidden, FCFS", NewScenario(0.7).with(firstCome).with(hidden)},
+		{"slots at 0.7, long work hidden, classes", NewScenario(0.7).with(slotsOnly).with(hidden)},
+		{"load 0.5, one upstream fails, ejection", NewScenario(0.5).with(failing)},
+		{"load 0.5, one upstream fails, no ejection", NewScenario(0.5).with(failing).with(func(s *Scenario) { s.Eject = false })},
+		{"load 0.5, one upstream fails, no ejection, least outstanding", NewScenario(0.5).with(failing).with(func(s *Scenario) {
+			s.Eject, s.Routing = false, route.LeastOutstanding
+		})},
+	}
+	for _, n := range []int{3, 4, 5, 6} {
+		s := NewScenario(0.6).with(slotsOnly)
+		s.LongMean, s.Slots.MaxLong = 4*time.Second, n
+		out = append(out, Round{fmt.Sprintf("slots at 0.6, long work of 4 s in at most %d slots", n), s})
 	}
+	return out
 }
 
+func hidden(s *Scenario) { s.Hidden = true }
+
+func failing(s *Scenario) { s.Failing = 1 }
+
 // Row runs a round with every seed and returns one line of a Markdown table with
 // the medians. Times are in milliseconds.
 func Row(r Round) string {
@@ -112,6 +126,7 @@
 		fmt.Sprintf("%.1f%%", 100*median((*Figures).UrgentInTime)),
 		fmt.Sprintf("%.1f%%", 100*median((*Figures).LongInTime)),
 		fmt.Sprintf("%.0f", median((*Figures).Goodput)),
-		fmt.Sprintf("%.1f", median((*Figures).Work)))
+		fmt.Sprintf("%.1f", median((*Figures).Work)),
+		fmt.Sprintf("%.2f%%", 100*median((*Figures).Failures)))
 	return "| " + strings.Join(cells, " | ") + " |"
 }
--- a/internal/request/experiment/scenario.go
+++ b/internal/request/experiment/scenario.go
@@ -20,6 +20,11 @@
 	Duration, From, To time.Duration
 	// LongShare is the share of requests that run long.
 	LongShare float64
+	// LongMean is the mean run time of long requests.
+	LongMean time.Duration
+	// Hidden gives long requests the template of the short ones, so that their
+	// class cannot be learned.
+	Hidden bool
 	// Skew is the share of arrivals at the first entry; the rest is even.
 	// 0 means even.
 	Skew float64
@@ -27,6 +32,10 @@
 	// between From and To, as beside a burst of noisy batch tasks.
 	Slow       int
 	SlowFactor float64
+	// Failing upstreams (the first ones) fail every request after 1 ms in the
+	// measured span. Eject turns outlier ejection on.
+	Failing int
+	Eject   bool
 
 	Routing   route.Policy
 	Admission bool // false: dispatch at once, no limit and no deadline check
@@ -61,7 +70,7 @@
 	cfg := slots.DefaultConfig()
 	return Scenario{
 		Control: admission.DefaultConfig(11*cfg.Slots, 3),
-		Entries: 3, Upstreams: 11, LongShare: 0.1, Admission: true, SlowFactor: 1,
+		Entries: 3, Upstreams: 11, LongShare: 0.1, LongMean: longMean, Eject: true, Admission: true, SlowFactor: 1,
 		Load:     func(time.Duration) float64 { return load },
 		Duration: 30 * time.Second, From: 5 * time.Second, To: 30 * time.Second,
 		Slots: cfg,
@@ -84,7 +93,7 @@
 
 // meanRun is the expected run time over the mix.
 func (s Scenario) meanRun() time.Duration {
-	return time.Duration(float64(shortMean)*(1-s.LongShare) + float64(longMean)*s.LongShare)
+	return time.Duration(float64(shortMean)*(1-s.LongShare) + float64(s.LongMean)*s.LongShare)
 }
 
 // interval draws the time to the next arrival of a Poisson process.
--- a/internal/request/experiment/targets_test.go
+++ b/internal/request/experiment/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -9,7 +10,10 @@
 	"vanillalock.example/vanillalock/internal/request/route"
 )
 
-var rounds = flag.Bool("rounds", false, "print the table of all rounds")
+var (
+	rounds = flag.Bool("rounds", false, "print the table of all rounds")
+	only   = flag.String("only", "", "print only the rounds whose names contain this text")
+)
 
 func p99(f *Figures) float64     { return f.Latency(0.99).Seconds() }
 func waitP99(f *Figures) float64 { return f.Wait(0.99).Seconds() }
@@ -51,6 +55,15 @@
 	checkRatio(t, NewScenario(0.9).with(slotsOnly), NewScenario(0.9).with(firstCome), waitP99, 0.2)
 }
 
+// Guards against an upstream that fails everything at once, looks fastest and
+// draws the traffic: with ejection it fails at most a tenth of what it fails
+// without, and the requests are answered by others.
+func TestFailingUpstreamDrawsNoTraffic(t *testing.T) {
+	without := NewScenario(0.5).with(failing).with(func(s *Scenario) { s.Eject = false })
+	checkRatio(t, NewScenario(0.5).with(failing), without, (*Figures).Failures, 0.1)
+	assert.GreaterOrEqual(t, Median(NewScenario(0.5).with(failing), (*Figures).UrgentInTime), 0.99)
+}
+
 // Guards against figures that change between runs of one seed.
 func TestSameSeedSameFigures(t *testing.T) {
 	assert.Equal(t, Run(NoisySwing(), 1), Run(NoisySwing(), 1))
@@ -62,6 +75,9 @@
 		t.Skip("prints a table and checks nothing; use -rounds -v")
 	}
 	for _, r := range Rounds() {
+		if !strings.Contains(r.Name, *only) {
+			continue
+		}
 		t.Log(Row(r))
 	}
 }
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -41,6 +41,7 @@
 		n := rapid.IntRange(1, 12).Draw(t, "n")
 		r := newRouter(p, n)
 		inFlight, states := map[Handle]int{}, map[Handle]State{}
+		reports, since := map[Handle]Report{}, map[Handle][]structs.SizeClass{}
 		for range 60 {
 			h := Handle(rapid.IntRange(0, n-1).Draw(t, "h"))
 			switch rapid.IntRange(0, 3).Draw(t, "op") {
@@ -48,23 +49,48 @@
 				states[h] = State(rapid.IntRange(0, 3).Draw(t, "state"))
 				r.SetState(r.ID(h), states[h])
 			case 1:
-				r.Report(h, Report{
+				reports[h], since[h] = Report{
 					Busy: rapid.IntRange(0, 8).Draw(t, "busy"), Queued: rapid.IntRange(0, 20).Draw(t, "queued"),
 					ShortWait: time.Duration(rapid.IntRange(0, 50).Draw(t, "wait")) * time.Millisecond,
-				})
+				}, nil
+				r.Report(h, reports[h])
 			}
 			class := structs.SizeClass(rapid.IntRange(0, 2).Draw(t, "class"))
 			avoid := Handle(rapid.IntRange(-1, n-1).Draw(t, "avoid"))
 			got := r.Pick(class, avoid)
+			wait, _ := r.expect(h, class)
+			require.Equal(t, naiveWait(r.cfg, reports[h], since[h], class), wait)
 			checkChoice(t, r, states, inFlight, class, avoid, got)
 			if got != None {
 				r.Sent(got, class)
 				inFlight[got]++
+				since[got] = append(since[got], class)
 			}
 		}
 	})
 }
 
+// naiveWait recounts the requests sent since the report, once for each entry.
+func naiveWait(cfg Config, rep Report, since []structs.SizeClass, class structs.SizeClass) time.Duration {
+	all, short := 0, 0
+	for range cfg.Entries {
+		for _, c := range since {
+			all++
+			if c == structs.SizeShort {
+				short++
+			}
+		}
+	}
+	switch {
+	case class == structs.SizeShort && rep.Busy+all < 8:
+		return rep.ShortWait
+	case class == structs.SizeShort:
+		return rep.ShortWait + cfg.Typical[0]*time.Duration(short)/8
+	default:
+		return cfg.Typical[class] * time.Duration(max(0, rep.Busy+rep.Queued+all-7)) / 8
+	}
+}
+
 func checkChoice(t *rapid.T, r *Router, states map[Handle]State, inFlight map[Handle]int, class structs.SizeClass, avoid, got Handle) {
 	var eligible, local, remote []Handle
 	for i := range r.ups {
@@ -145,6 +171,34 @@
 	r.Returned(1, structs.SizeShort, time.Millisecond, time.Millisecond)
 	assert.Equal(t, Handle(1), r.Add("newer", "a", 8))
 	assert.Zero(t, r.InFlight(1))
+	r.Remove("vm0")
+	for range 100 {
+		assert.NotEqual(t, Handle(0), r.Pick(structs.SizeShort, None), "removed")
+	}
+}
+
+// Guards against traffic to a slow VM, and against avoiding it for ever after it
+// recovered: an avoided upstream sends only heartbeats.
+func TestSlowUpstreamIsAvoidedUntilItRecovers(t *testing.T) {
+	r := newRouter(ExpectedWait, 12)
+	r.cfg.Hop = -time.Hour // compare with all upstreams
+	answer := func(h Handle, run time.Duration) {
+		r.Sent(h, structs.SizeShort)
+		r.Returned(h, structs.SizeShort, run, 40*time.Millisecond)
+		r.Report(h, Report{})
+	}
+	cost := func() time.Duration { c, _ := r.expect(0, structs.SizeShort); return c }
+	for range 40 {
+		answer(0, 200*time.Millisecond)
+		for h := Handle(1); h < 12; h++ {
+			answer(h, 40*time.Millisecond)
+		}
+	}
+	assert.Greater(t, cost(), 40*time.Millisecond, "four more run times, less the moving average")
+	for range 20 {
+		r.Report(0, Report{}) // heartbeats
+	}
+	assert.Zero(t, cost())
 }
 
 // Guards against allocation on the path of every request.
--- a/internal/request/slots/slots.go
+++ b/internal/request/slots/slots.go
@@ -42,10 +42,12 @@
 }
 
 // DefaultConfig returns the limits of an upstream with 8 slots and 64
-// connections.
+// connections. Long work may take 5 of the 6 slots outside the reserve, so that
+// medium work always finds one; with 4, more long work misses its deadline while
+// short work gains nothing (docs/measurements-request.md).
 func DefaultConfig() Config {
 	return Config{
-		Slots: 8, Connections: 64, ReservedShort: 2, MaxLong: 4,
+		Slots: 8, Connections: 64, ReservedShort: 2, MaxLong: 5,
 		MaxQueue:   [classes]int{32, 16, 16},
 		Aging:      [classes]time.Duration{0, 500 * time.Millisecond, 2 * time.Second},
 		Guaranteed: [classes]int{0, 1, 1},
