--- a/internal/kv/client_test.go
+++ b/internal/kv/client_test.go
@@ -30,9 +30,12 @@
 // TestTransportFailures guards against a write that may have been applied being
 // reported as not applied, which would let two owners act on it.
 func TestTransportFailures(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
+	require.NoError(t, closed.Close())
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = silent.Close() }()
 	answer := func(h http.HandlerFunc) string {
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
@@ -42,13 +45,18 @@
 		url   string
 		write error
 	}{
-		"refused":      {"http://" + l.Addr().String(), ErrUnavailable},
+		"refused":      {"http://" + closed.Addr().String(), ErrUnavailable},
+		"silent":       {"http://" + silent.Addr().String(), ErrUncertain},
 		"broken":       {answer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), ErrUncertain},
 		"stated":       {answer(func(w http.ResponseWriter, _ *http.Request) { httpjson.WriteError(w, 503, CodeUnavailable, "") }), ErrUnavailable},
 		"without code": {answer(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "bad gateway", http.StatusBadGateway) }), ErrUncertain},
 		"wrong path":   {answer(http.NotFound), ErrUncertain},
 	} {
-		client, err := NewClient(c.url, ClientOptions{Timeout: time.Minute, WatchWait: time.Millisecond})
+		timeout := time.Minute
+		if name == "silent" {
+			timeout = 300 * time.Millisecond
+		}
+		client, err := NewClient(c.url, ClientOptions{Timeout: timeout, WatchWait: time.Millisecond})
 		require.NoError(t, err)
 		reads, writes := operations(client)
 		for op, err := range reads {
@@ -61,23 +69,6 @@
 	}
 }
 
-// TestSilentService guards against a write to a connection that accepts and
-// never answers being taken as not applied.
-func TestSilentService(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	client, err := NewClient("http://"+l.Addr().String(), ClientOptions{Timeout: 300 * time.Millisecond, WatchWait: time.Millisecond})
-	require.NoError(t, err)
-	reads, writes := operations(client)
-	for op, err := range reads {
-		require.ErrorIs(t, err, ErrUnavailable, op)
-	}
-	for op, err := range writes {
-		require.ErrorIs(t, err, ErrUncertain, op)
-	}
-}
-
 func matching(err error) []error {
 	var out []error
 	for _, e := range []error{ErrConflict, ErrNotFound, ErrUnavailable, ErrUncertain, ErrTooLarge} {
--- a/internal/standin/kv/bench_test.go
+++ b/internal/standin/kv/bench_test.go
@@ -24,11 +24,8 @@
 			_, err := c.CompareAndSwap(ctx, "new/"+strconv.Itoa(i), 0, value, 0)
 			return err
 		},
-		"keepalive": func(c *store.Client, _ int) error { return c.KeepAlive(ctx, 1) },
-		"list-16KiB": func(c *store.Client, _ int) error {
-			_, _, err := c.List(ctx, "page")
-			return err
-		},
+		"keepalive":  func(c *store.Client, _ int) error { return c.KeepAlive(ctx, 1) },
+		"list-16KiB": func(c *store.Client, _ int) error { _, _, err := c.List(ctx, "page"); return err },
 	} {
 		b.Run(name, func(b *testing.B) { countTraffic(b, op) })
 	}
@@ -73,18 +70,12 @@
 	f.Add(uint8(4), []byte(`{"ttl_ms":-9223372036854775808}`))
 	f.Add(uint8(1), []byte(`{"prefix":"`))
 	f.Fuzz(func(t *testing.T, path uint8, body []byte) {
-		fuzzCall(t, New(Options{}), paths[int(path)%len(paths)], body)
+		w := httptest.NewRecorder()
+		New(Options{}).ServeHTTP(w, httptest.NewRequest(http.MethodPost, paths[int(path)%len(paths)], bytes.NewReader(body)))
+		var call store.Call
+		err := httpjson.Unmarshal(body, &call)
+		if !json.Valid(w.Body.Bytes()) || (err != nil) != (w.Code == http.StatusBadRequest) {
+			t.Fatalf("status %d, answer %q, decode error %v", w.Code, w.Body, err)
+		}
 	})
 }
-
-func fuzzCall(t *testing.T, s *Server, path string, body []byte) {
-	w := httptest.NewRecorder()
-	s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body)))
-	if !json.Valid(w.Body.Bytes()) {
-		t.Fatalf("status %d, answer %q", w.Code, w.Body)
-	}
-	var call store.Call
-	if err := httpjson.Unmarshal(body, &call); (err != nil) != (w.Code == http.StatusBadRequest) {
-		t.Fatalf("status %d, decode error %v", w.Code, err)
-	}
-}
