Compare two load reports of one plan

Figures count as ratios between runs under the same arrivals. Compare sets the share in time and the latency quantiles of two reports side by side and refuses reports of different plans.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -236,19 +236,33 @@
 	require.Equal(t, n, run(t, p, Options{}, &fake{answer: refuse}).Jobs.Refused)
 }
 
-// TestReportIsStable guards against reports that cannot be compared.
+// TestReportIsStable guards against reports that cannot be compared, and
+// against a comparison of different plans.
 func TestReportIsStable(t *testing.T) {
-	write := func() string {
-		f := &fake{answer: func(_ *http.Request, b requestBody) (int, string, error) { return 200, echo(b), nil }}
+	write := func(p Plan, delay time.Duration) (Report, string) {
+		f := &fake{answer: func(_ *http.Request, b requestBody) (int, string, error) {
+			time.Sleep(delay)
+			return 200, echo(b), nil
+		}}
 		var out bytes.Buffer
-		report := run(t, requestsOnly(), Options{}, f)
-		require.NoError(t, report.WriteJSON(&out))
-		require.NoError(t, report.WriteText(&out))
-		return out.String()
+		report := run(t, p, Options{}, f)
+		require.NoError(t, errors.Join(report.WriteJSON(&out), report.WriteText(&out)))
+		return report, out.String()
 	}
-	first := write()
-	require.Equal(t, first, write())
+	base, first := write(requestsOnly(), 10*time.Millisecond)
+	_, second := write(requestsOnly(), 10*time.Millisecond)
+	require.Equal(t, first, second)
 	require.Contains(t, first, `"schema": "vanillalock.load/1"`)
+	p := requestsOnly()
+	p.RunID = "second"
+	slow, _ := write(p, time.Second)
+	rows, err := Compare(base, slow)
+	require.NoError(t, err)
+	require.InEpsilon(t, 100, rows[2].P99Ratio, 0.01)
+	require.Equal(t, []float64{1, 0}, []float64{rows[2].BaseInTime, rows[2].OtherInTime})
+	slow.Plan.Seed++
+	_, err = Compare(base, slow)
+	require.ErrorIs(t, err, ErrDifferentPlans)
 }
 
 // TestLatencyFromIntendedArrival guards against a generator that runs late and
