Read answer bodies in the form of the HTTP API

The API sends a body that is JSON as it is, other text as a string, and the rest in body_base64. The load generator took any string for base64, so that a text that happens to be base64 was judged as other bytes.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -25,20 +25,23 @@
 
 // Answer is an entry's answer to a request.
 type Answer struct {
-	RequestID string          `json:"request_id"`
-	Outcome   string          `json:"outcome"`
-	Code      rescode.Code    `json:"code"`
-	Detail    string          `json:"detail"`
-	Body      json.RawMessage `json:"body"`
-	Upstream  string          `json:"upstream"`
+	RequestID  string          `json:"request_id"`
+	Outcome    string          `json:"outcome"`
+	Code       rescode.Code    `json:"code"`
+	Detail     string          `json:"detail"`
+	Body       json.RawMessage `json:"body"`        // JSON as it is, other text as a string
+	BodyBase64 []byte          `json:"body_base64"` // a body that is not UTF-8
+	Upstream   string          `json:"upstream"`
 }
 
-// Bytes returns the body: a JSON string holds it in base64, any other value is
-// the body itself.
+// Bytes returns the body of the upstream.
 func (a Answer) Bytes() []byte {
-	var decoded []byte
-	if len(a.Body) > 0 && a.Body[0] == '"' && json.Unmarshal(a.Body, &decoded) == nil {
-		return decoded
+	var text string
+	switch {
+	case len(a.Body) == 0:
+		return a.BodyBase64
+	case a.Body[0] == '"' && json.Unmarshal(a.Body, &text) == nil:
+		return []byte(text)
 	}
 	return a.Body
 }
--- a/internal/load/fuzz_test.go
+++ b/internal/load/fuzz_test.go
@@ -11,7 +11,7 @@
 // FuzzDecodeAnswer guards against answers that make the generator panic, and
 // against a broken answer that passes for the echo of a request.
 func FuzzDecodeAnswer(f *testing.F) {
-	f.Add([]byte(`{"request_id":"a","outcome":"done","code":0,"body":"e30="}`))
+	f.Add([]byte(`{"request_id":"a","outcome":"done","code":0,"body_base64":"e30="}`))
 	f.Add([]byte(`{"code":1003}`))
 	f.Add([]byte(`{"outcome":"done","body":{"request_id":"a","template":"t","customer":"c"}}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -94,7 +94,7 @@
 
 func echo(b requestBody) string {
 	inner, _ := json.Marshal(upstream.Echo{RequestID: b.ID, Template: b.Template, Customer: b.Customer, Parameters: b.Parameters})
-	out, _ := json.Marshal(map[string]any{"request_id": b.ID, "outcome": "done", "code": 0, "body": inner})
+	out, _ := json.Marshal(map[string]any{"request_id": b.ID, "outcome": "done", "code": 0, "body": json.RawMessage(inner)})
 	return string(out)
 }
 
@@ -186,6 +186,8 @@
 		"unknown":        {`{"outcome":"unknown","code":3001}`, Counts{Unknown: 1}},
 		"ran and failed": {`{"outcome":"done","code":4001}`, Counts{Done: 1, Failed: 1}},
 		"another's body": {`{"outcome":"done","code":0,"body":{"request_id":"other"}}`, Counts{Done: 1, InTime: 1, Wrong: 1}},
+		"truncated text": {`{"outcome":"done","code":0,"body":"{\"request_id\":"}`, Counts{Done: 1, InTime: 1, Wrong: 1}},
+		"not UTF-8":      {`{"outcome":"done","code":0,"body_base64":"/w=="}`, Counts{Done: 1, InTime: 1, Wrong: 1}},
 		"another's id":   {`{"request_id":"other","outcome":"not_run","code":2001}`, Counts{NotRun: 1, Wrong: 1}},
 		"no JSON":        {`<html>`, Counts{Unknown: 1, Wrong: 1}},
 		"no code":        {`{}`, Counts{Unknown: 1}},
