Make stand-in tests fail for five removed behaviors

Removing one behavior at a time left the tests green in five cases: closing pooled connections after a timeout, the pause of the worker, the share of a throttled neighbour, the outage that ends a waiting watch, and a slow write whose caller gives up.

The outage test moves from sockets to virtual time, since only there does the watch's answer before its wait limit show. The client's side of an outage stays covered by the table of transport failures in package kv.

--- a/internal/standin/kv/kv_test.go
+++ b/internal/standin/kv/kv_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -100,32 +103,47 @@
 	require.EqualValues(t, 1, s.Records().AnswersLost)
 }
 
-// TestOutage guards against calls that succeed in an outage and watches that
-// do not notice it.
+// TestOutage guards against calls that succeed in an outage, watches that do not
+// notice it, and slow writes that vanish with a caller that gives up.
 func TestOutage(t *testing.T) {
-	s, c := serve(t)
-	done := make(chan error, 1)
-	go func() {
-		_, _, err := c.Watch(ctx, "a", 0)
-		done <- err
-	}()
-	require.Eventually(t, func() bool { return s.Records().Calls.Watches == 1 }, time.Minute, time.Millisecond)
-	require.NoError(t, s.SetFaults(Faults{Down: true}))
-	require.ErrorIs(t, <-done, store.ErrUnavailable)
-	_, err := c.CompareAndSwap(ctx, "a", 0, nil, 0)
-	require.ErrorIs(t, err, store.ErrUnavailable)
-	require.NoError(t, s.SetFaults(Faults{}))
-	_, err = c.Get(ctx, "a")
-	require.ErrorIs(t, err, store.ErrNotFound)
-	require.Equal(t, Counts{Reads: 1, Writes: 1, Watches: 1}, s.Records().Calls)
+	synctest.Test(t, func(t *testing.T) {
+		s, began, w := New(Options{}), time.Now(), httptest.NewRecorder()
+		send := func(ctx context.Context, w *httptest.ResponseRecorder, path, body string) {
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)).WithContext(ctx))
+		}
+		go send(ctx, w, store.PathWatch, `{"prefix":"a","wait_ms":30000}`)
+		synctest.Wait()
+		require.NoError(t, s.SetFaults(Faults{Down: true}))
+		synctest.Wait()
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		w = httptest.NewRecorder()
+		send(ctx, w, store.PathSwap, `{"key":"a"}`)
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.Zero(t, time.Since(began))
+		require.NoError(t, s.SetFaults(Faults{DelayMs: 1000}))
+		short, cancel := context.WithTimeout(ctx, time.Millisecond)
+		defer cancel()
+		send(short, httptest.NewRecorder(), store.PathSwap, `{"key":"a"}`)
+		e, err := s.Store().Get(ctx, "a")
+		require.NoError(t, err)
+		require.EqualValues(t, 1, e.Revision)
+		require.Equal(t, Counts{Writes: 2, Watches: 1}, s.Records().Calls)
+	})
 }
 
 // TestSilentEstablished guards against a client that stays on connections that
 // went silent while new ones work.
 func TestSilentEstablished(t *testing.T) {
 	s, c := serve(t)
+	watched := make(chan error, 1)
+	go func() {
+		_, _, err := c.Watch(ctx, "a", 0)
+		watched <- err
+	}()
+	require.Eventually(t, func() bool { return s.Records().Calls.Watches == 1 }, time.Minute, time.Millisecond)
 	_, err := c.CompareAndSwap(ctx, "a", 0, []byte("v"), 0)
 	require.NoError(t, err)
+	require.NoError(t, <-watched, "two connections are pooled")
 	require.NoError(t, s.SetFaults(Faults{Silent: control.SilenceEstablished}))
 	short, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -45,17 +45,21 @@
 	return out
 }
 
-// TestProgress guards against work that ignores neighbours and throttling.
+// TestProgress guards against work that ignores neighbours, throttling
+// and pauses.
 func TestProgress(t *testing.T) {
 	virtual(t, Options{}, func(t *testing.T, s *Server) {
 		require.NoError(t, s.Run(ctx, spec(0, 1, 1000), time.Minute))
 		require.NoError(t, s.Run(ctx, spec(1, 1, 3000), time.Minute))
-		time.Sleep(1499 * time.Millisecond)
+		require.NoError(t, s.Throttle(ctx, spec(1, 1, 0).Task, spec(1, 1, 0).Token, 0.5))
+		time.Sleep(1249 * time.Millisecond)
 		require.Equal(t, map[int]api.State{0: api.Running, 1: api.Running}, states(t, s))
-		time.Sleep(2 * time.Millisecond) // 1 s of work at 1/1.5
+		time.Sleep(2 * time.Millisecond) // 1 s of work at 1/1.25, as the neighbour has half its share
 		require.Equal(t, map[int]api.State{0: api.Done, 1: api.Running}, states(t, s))
-		require.NoError(t, s.Throttle(ctx, spec(1, 1, 0).Task, spec(1, 1, 0).Token, 0.5))
-		time.Sleep(3990 * time.Millisecond) // 2 s of work at 1/2
+		require.NoError(t, s.SetFaults(Faults{Paused: true}))
+		time.Sleep(10 * time.Second)
+		require.NoError(t, s.SetFaults(Faults{}))
+		time.Sleep(5160 * time.Millisecond) // of 2,583 ms of work left at 1/2
 		require.Equal(t, api.Running, states(t, s)[1])
 		time.Sleep(20 * time.Millisecond)
 		require.Equal(t, api.Done, states(t, s)[1])
