--- a/cmd/vanillalock/main.go
+++ b/cmd/vanillalock/main.go
@@ -8,11 +8,14 @@
 	"syscall"
 
 	"vanillalock.example/vanillalock/internal/command"
+	"vanillalock.example/vanillalock/internal/roles"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, os.Args[1:], os.Stdin, command.Streams{Out: os.Stdout, Err: os.Stderr}, command.Runners{})
+	// The first signal starts a graceful shutdown; a second one ends the process.
+	context.AfterFunc(ctx, stop)
+	code := command.Run(ctx, os.Args[1:], os.Stdin, command.Streams{Out: os.Stdout, Err: os.Stderr}, roles.Runners())
 	stop()
 	os.Exit(code)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,8 @@
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"vanillalock.example/vanillalock/coord/lease"
+	"vanillalock.example/vanillalock/internal/request/dedup"
 	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/upstream"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -23,8 +25,8 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to an entry.
-	heartbeatInterval = 2 * time.Second
+	// defaultHeartbeat is the time between two heartbeats to an entry.
+	defaultHeartbeat = 2 * time.Second
 	// tickInterval drives expiry, reclassification and dispatch deadlines.
 	tickInterval = 50 * time.Millisecond
 	// leaveGrace is how long after announcing its departure an agent still
@@ -46,6 +48,11 @@
 	Log      *log.Logger
 	Tracer   trace.Tracer
 	Drain    time.Duration // 0: 30 s
+
+	Lease     lease.Config  // zero: lease.Default(); equal in all processes of a region
+	Records   dedup.Config  // zero: dedup.DefaultConfig()
+	Heartbeat time.Duration // 0: 2 s
+	Silence   time.Duration // of a session before it is closed; 0: 2 s
 }
 
 // Agent is one agent incarnation.
@@ -72,6 +79,15 @@
 	if opts.Drain == 0 {
 		opts.Drain = defaultDrain
 	}
+	if opts.Lease == (lease.Config{}) {
+		opts.Lease = lease.Default()
+	}
+	if opts.Records == (dedup.Config{}) {
+		opts.Records = dedup.DefaultConfig()
+	}
+	if opts.Heartbeat == 0 {
+		opts.Heartbeat = defaultHeartbeat
+	}
 	return &Agent{
 		opts:    opts,
 		events:  make(chan func(*control), eventBacklog),
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/coord/propagation"
 	"vanillalock.example/vanillalock/internal/request/classify"
 	"vanillalock.example/vanillalock/internal/request/dedup"
@@ -50,7 +49,7 @@
 		ctx:   ctx,
 		// Every request names the incarnation it is meant for, which excludes
 		// earlier incarnations without comparing clocks.
-		record:   dedup.New(dedup.DefaultConfig(), time.Unix(0, 0)),
+		record:   dedup.New(a.opts.Records, time.Unix(0, 0)),
 		slots:    slots.New(slotConfig),
 		classes:  classify.New(classify.DefaultConfig()),
 		runs:     map[string]*requestRun{},
@@ -58,7 +57,7 @@
 		sessions: map[string]*entrySession{},
 		config:   propagation.NewReplica(),
 	}
-	c.tasks = newTaskTable(c, lease.Default())
+	c.tasks = newTaskTable(c, a.opts.Lease)
 	return c
 }
 
@@ -66,7 +65,7 @@
 func (c *control) loop(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(c.agent.opts.Heartbeat)
 	defer heartbeat.Stop()
 	poll := time.NewTicker(taskPollInterval)
 	defer poll.Stop()
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -22,6 +22,8 @@
 	// overrun is how long past its deadline a request that has started may
 	// still run before the agent gives up on the upstream's answer.
 	overrun = 30 * time.Second
+	// firstFrameTimeout bounds how long a new stream may stay without a frame.
+	firstFrameTimeout = 2 * time.Second
 	// uncertainHold keeps the slot of a request whose answer was lost, because
 	// the upstream may still be running it.
 	uncertainHold = 5 * time.Second
@@ -30,7 +32,7 @@
 // serveStream answers one stream that an entry opened.
 func (a *Agent) serveStream(ctx context.Context, stream *wire.Stream) {
 	defer stream.Close()
-	frame, err := stream.Receive(heartbeatInterval)
+	frame, err := stream.Receive(firstFrameTimeout)
 	if err != nil {
 		return
 	}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -82,7 +82,7 @@
 
 // serveSession runs one session from dial to end.
 func (a *Agent) serveSession(ctx context.Context, s *entrySession) error {
-	session, err := wire.Dial(ctx, s.address, a.opts.TLS, &a.stats)
+	session, err := wire.Dial(ctx, s.address, wire.Config{TLS: a.opts.TLS, Stats: &a.stats, Silence: a.opts.Silence})
 	if err != nil {
 		return err
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -33,6 +33,9 @@
 
 func (e usageError) Unwrap() error { return e.error }
 
+// UsageError marks an error of a runner as one of usage, for the exit code.
+func UsageError(err error) error { return usageError{err} }
+
 // state is what commands share.
 type state struct {
 	ctx     context.Context
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -121,7 +121,9 @@
 }
 
 // Help implements kong.HelpProvider.
-func (*demoCmd) Help() string { return "Example: vanillalock demo --duration 30s" }
+func (*demoCmd) Help() string {
+	return "Example: vanillalock demo --deployment pasji-urnik --duration 20s"
+}
 
 // Run runs the demonstration.
 func (c *demoCmd) Run(s *state) error { return c.run(s.ctx, c.DemoOptions, s.streams) }
--- a/internal/command/runners.go
+++ b/internal/command/runners.go
@@ -10,6 +10,12 @@
 	"vanillalock.example/vanillalock/internal/settings"
 )
 
+// Values of options that runners compare.
+const (
+	OutputJSON   = "json"
+	ProfileSwing = "swing"
+)
+
 // Streams are the outputs of a command: results go to Out, messages to Err.
 type Streams struct {
 	Out io.Writer
@@ -58,6 +64,9 @@
 	MilliCPU     int64  `default:"16000" help:"Processors, in thousandths of a core."`
 	MemoryMB     int64  `default:"62000" help:"Memory, in MiB."`
 	Accelerators int64  `default:"0" help:"Accelerators, in whole devices."`
+
+	UsageLag time.Duration `default:"2s" help:"Age of the usage reports."`
+	FailAll  bool          `help:"Fail every task at once."`
 }
 
 // StandinUpstreamOptions are the options of "standin upstream".
@@ -65,23 +74,28 @@
 	Listen      string `default:"127.0.0.1:9200" help:"Listen address, host:port."`
 	Slots       int    `default:"8" help:"Requests run at once."`
 	Connections int    `default:"64" help:"Connections accepted."`
+	FailAll     bool   `help:"Fail every request at once."`
 }
 
 // LoadOptions are the options of "load".
 type LoadOptions struct {
 	Entry    []string      `required:"" sep:"," help:"Base URL of an entry; loopback only." placeholder:"URL"`
-	Profile  string        `default:"steady" help:"Name of the load profile."`
+	Profile  string        `default:"steady" enum:"steady,swing" help:"Load profile: steady, or swing with a crest of five times the rate in the middle third."`
 	Rate     float64       `default:"50" help:"Requests per second at the base of the profile."`
 	Duration time.Duration `default:"30s" help:"Length of the run."`
 	Seed     uint64        `default:"1" help:"Seed of the arrivals."`
 	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+	Output   string        `default:"text" enum:"text,json" help:"Output format: text or json."`
 }
 
 // DemoOptions are the options of "demo".
 type DemoOptions struct {
-	Duration time.Duration `default:"30s" help:"Length of the run."`
-	Seed     uint64        `default:"1" help:"Seed of the load."`
-	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+	Deployment string        `default:"lien-hoa" enum:"lien-hoa,pasji-urnik" help:"Deployment: lien-hoa or pasji-urnik."`
+	Duration   time.Duration `default:"20s" help:"Length of the load."`
+	Seed       uint64        `default:"1" help:"Seed of the load."`
+	LogLevel   string        `default:"error" enum:"debug,info,warn,error" help:"Least level of log lines."`
+	JSON       string        `help:"File for the results as JSON." placeholder:"FILE"`
+	Output     string        `default:"text" enum:"text,json" help:"Output format: text or json."`
 }
 
 // BenchOptions are the options of "bench".
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"vanillalock.example/vanillalock/coord/propagation"
@@ -22,17 +23,22 @@
 	listInterval = 60 * time.Second
 	storeTimeout = time.Second
 	storeRetry   = 500 * time.Millisecond
+	// recoverySpread keeps the entries from reading everything at once when the
+	// key-value service returns from an outage.
+	recoverySpread = 5 * time.Second
 )
 
 // watchConfig follows the configuration in the store until ctx ends.
 func (e *Entry) watchConfig(ctx context.Context) {
+	lastRead := time.Now()
 	for ctx.Err() == nil {
 		revision, err := e.listConfig(ctx)
 		if err != nil {
 			e.opts.Log.Debug("Configuration not read.", "err", err)
-			e.sleep(storeRetry)
+			e.sleep(storeRetry + e.spread(time.Since(lastRead)))
 			continue
 		}
+		lastRead = time.Now()
 		next := time.Now().Add(listInterval)
 		for ctx.Err() == nil && time.Now().Before(next) {
 			watchCtx, cancel := context.WithTimeout(ctx, watchTime)
@@ -50,8 +56,17 @@
 	}
 }
 
+// spread returns a random delay after an outage of the given length.
+func (e *Entry) spread(outage time.Duration) time.Duration {
+	limit := min(outage, e.opts.StoreTimes.Recover)
+	if limit <= 0 {
+		return 0
+	}
+	return rand.N(limit)
+}
+
 func (e *Entry) listConfig(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.Call)
 	defer cancel()
 	objects, revision, err := e.config.List(ctx)
 	if err != nil {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -59,11 +59,11 @@
 	rng := rand.New(rand.NewPCG(seed, seed>>7))
 	c := &control{
 		entry:        e,
-		answers:      answers.New(answers.DefaultConfig()),
+		answers:      answers.New(e.opts.Answers),
 		waiters:      map[answers.Waiter]chan<- structs.Answer{},
 		runs:         map[string]*run{},
 		fingerprints: map[string]string{},
-		admission:    admission.New(admission.DefaultConfig(e.opts.Slots, e.opts.Entries)),
+		admission:    admission.New(admissionConfig(e.opts)),
 		classes:      classify.New(classify.DefaultConfig()),
 		router:       route.New(route.DefaultConfig(e.opts.FailureDomain, e.opts.Entries), rng),
 		retry:        retry.New(retry.DefaultConfig(), rng),
@@ -80,6 +80,14 @@
 	return c
 }
 
+func admissionConfig(opts Options) admission.Config {
+	cfg := admission.DefaultConfig(opts.Slots, opts.Entries)
+	if opts.Queue > 0 {
+		cfg.MaxUrgent, cfg.MaxBatch = opts.Queue, opts.Queue
+	}
+	return cfg
+}
+
 // now is the entry's monotonic clock.
 func (e *Entry) now() time.Duration { return time.Since(e.started) }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -24,6 +25,7 @@
 	"vanillalock.example/vanillalock/internal/claims"
 	"vanillalock.example/vanillalock/internal/configstore"
 	"vanillalock.example/vanillalock/internal/kv"
+	"vanillalock.example/vanillalock/internal/request/answers"
 	"vanillalock.example/vanillalock/internal/wire"
 )
 
@@ -52,12 +54,27 @@
 	TLS           *tls.Config // for sessions to other entries; nil: plain TCP
 	Log           *log.Logger
 	Tracer        trace.Tracer
-	Drain         time.Duration // 0: 30 s
-	Shards        int           // 0: DefaultShards
-	Slots         int           // expected slots of all upstreams; 0: 88
-	Entries       int           // expected entries of the region; 0: 3
-	Lease         lease.Config  // zero: lease.Default()
-	Ownership     shard.Config  // zero: shard.Default()
+	Drain         time.Duration  // 0: 30 s
+	Shards        int            // 0: DefaultShards
+	Slots         int            // expected slots of all upstreams; 0: 88
+	Entries       int            // expected entries of the region; 0: 3
+	Lease         lease.Config   // zero: lease.Default()
+	Ownership     shard.Config   // zero: shard.Default()
+	Answers       answers.Config // zero: answers.DefaultConfig()
+	Queue         int            // requests that may wait, of each class; 0: 1,024
+	MaxTimeout    time.Duration  // longest deadline that a caller may ask for; 0: 10 min
+	Silence       time.Duration  // of a session before it is closed; 0: 2 s
+	StoreTimes    StoreTimes
+}
+
+// StoreTimes are the times of the use of the key-value service. Zero fields
+// take the defaults.
+type StoreTimes struct {
+	Call    time.Duration // limit of one call; 1 s
+	Poll    time.Duration // between two reads of the region's keys; 1 s
+	Lease   time.Duration // of the entry's own key; 10 s
+	Commit  time.Duration // between two writes of one shard's log; 250 ms
+	Recover time.Duration // over which reads are spread after an outage; 5 s
 }
 
 // Entry is one entry incarnation.
@@ -113,6 +130,16 @@
 	if opts.Entries == 0 {
 		opts.Entries = defaultEntries
 	}
+	if opts.Answers == (answers.Config{}) {
+		opts.Answers = answers.DefaultConfig()
+	}
+	if opts.MaxTimeout == 0 {
+		opts.MaxTimeout = maxDeadline
+	}
+	t := &opts.StoreTimes
+	t.Call, t.Poll = cmp.Or(t.Call, storeTimeout), cmp.Or(t.Poll, storeInterval)
+	t.Lease, t.Commit = cmp.Or(t.Lease, entryLease), cmp.Or(t.Commit, commitInterval)
+	t.Recover = cmp.Or(t.Recover, recoverySpread)
 	if opts.Lease == (lease.Config{}) {
 		opts.Lease = lease.Default()
 	}
--- a/internal/entry/jobcalls.go
+++ b/internal/entry/jobcalls.go
@@ -136,7 +136,7 @@
 			}
 			last = err
 		}
-		if !e.sleep(storeInterval / 2) {
+		if !e.sleep(e.opts.StoreTimes.Poll / 2) {
 			return structs.Job{}, errStopped
 		}
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -127,7 +127,7 @@
 // suspicion, on takeover, for a job of another owner, for an answer that
 // another entry holds.
 func (e *Entry) callPeer(ctx context.Context, peer peerRecord, frame *pb.Frame, timeout time.Duration) (*pb.Frame, error) {
-	session, err := wire.Dial(ctx, peer.Session, e.opts.TLS, &e.stats)
+	session, err := wire.Dial(ctx, peer.Session, e.wireConfig())
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 }
 
 func (c *control) storeContact() bool {
-	return c.jobs.readAt > 0 && c.entry.now()-c.jobs.readAt < 3*storeInterval
+	return c.jobs.readAt > 0 && c.entry.now()-c.jobs.readAt < 3*c.entry.opts.StoreTimes.Poll
 }
 
 func codedError(err error) *rescode.Error {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -106,8 +106,8 @@
 		return nil, rescode.FieldErrorf(rescode.KeyRequired, "Idempotency-Key", "template %q is not idempotent", template.Name)
 	}
 	timeout := deadlineOf(template, in.Timeout)
-	if timeout <= 0 || timeout > maxDeadline {
-		return nil, rescode.FieldErrorf(rescode.InvalidDeadline, "Request-Timeout", "%v is not in 1ns..%v", timeout, maxDeadline)
+	if timeout <= 0 || timeout > c.entry.opts.MaxTimeout {
+		return nil, rescode.FieldErrorf(rescode.InvalidDeadline, "Request-Timeout", "%v is not in 1ns..%v", timeout, c.entry.opts.MaxTimeout)
 	}
 	now := time.Now()
 	r := &run{
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -143,7 +143,7 @@
 // edit runs one edit and puts its result in force here at once; the watches of
 // the other entries follow.
 func (e *Entry) edit(ctx context.Context, write func(context.Context) (configstore.Object, error)) (configstore.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*e.opts.StoreTimes.Call)
 	defer cancel()
 	e.editMu.Lock()
 	o, err := write(ctx)
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -31,6 +31,10 @@
 	toldEntries string // the entry addresses last sent, as one string
 }
 
+func (e *Entry) wireConfig() wire.Config {
+	return wire.Config{TLS: e.opts.TLS, Stats: &e.stats, Silence: e.opts.Silence}
+}
+
 // acceptSessions accepts agents and other entries.
 func (e *Entry) acceptSessions(ctx context.Context) {
 	for {
@@ -52,7 +56,7 @@
 
 // serveConn identifies the peer by the first frame of its first stream.
 func (e *Entry) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := wire.Accept(conn, &e.stats)
+	session, err := wire.Accept(conn, e.wireConfig())
 	if err != nil {
 		return
 	}
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -107,7 +107,7 @@
 // service takes.
 func (e *Entry) openShard(s *ownedShard) {
 	for e.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(e.ctx, 10*storeTimeout)
+		ctx, cancel := context.WithTimeout(e.ctx, 10*e.opts.StoreTimes.Call)
 		log, records, err := shardlog.Open(ctx, e.opts.Store, s.id, s.generation, e.incarnation)
 		cancel()
 		if err == nil {
@@ -122,7 +122,7 @@
 			return
 		}
 		e.opts.Log.Warn("Shard not opened.", "shard", s.id, "err", err)
-		if !e.sleep(openRetry) {
+		if !e.sleep(openRetry + e.spread(e.now()-s.ownedAt)) {
 			return
 		}
 	}
@@ -150,7 +150,7 @@
 
 // flush starts the write of a shard's changes if none is under way.
 func (j *jobControl) flush(s *ownedShard, now time.Time) {
-	if s.state == nil || s.busy || now.Sub(s.flushed) < commitInterval || j.handover.Draining(s.id) {
+	if s.state == nil || s.busy || now.Sub(s.flushed) < j.c.entry.opts.StoreTimes.Commit || j.handover.Draining(s.id) {
 		return
 	}
 	if batch := s.state.Take(s.log.NeedsSnapshot); !batch.Empty() {
@@ -178,7 +178,7 @@
 		return err
 	}
 	for {
-		ctx, cancel := context.WithTimeout(e.ctx, 3*storeTimeout)
+		ctx, cancel := context.WithTimeout(e.ctx, 3*e.opts.StoreTimes.Call)
 		err := s.log.Flush(ctx)
 		cancel()
 		if err == nil || errors.Is(err, shardlog.ErrFenced) || e.ctx.Err() != nil {
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -20,8 +20,9 @@
 	entryLease = 10 * time.Second
 	// storeInterval is the time between two reads of the region's keys. A read
 	// verifies the ownership that permits rest on.
-	storeInterval     = time.Second
-	keepAliveInterval = 3 * time.Second
+	storeInterval = time.Second
+	// keepAlivesPerLease lets two of three renewals fail.
+	keepAlivesPerLease = 3
 )
 
 // peerRecord is the value of an entry's own key.
@@ -50,7 +51,7 @@
 	defer s.unregister()
 	for ctx.Err() == nil {
 		s.round(ctx)
-		if !e.sleep(storeInterval) {
+		if !e.sleep(e.opts.StoreTimes.Poll) {
 			return
 		}
 	}
@@ -68,7 +69,7 @@
 // round registers the entry, reads the region and writes what the control
 // state plans.
 func (s *storeClient) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 3*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 3*s.entry.opts.StoreTimes.Call)
 	defer cancel()
 	if err := s.register(ctx); err != nil {
 		s.entry.opts.Log.Debug("Not registered.", "err", err)
@@ -94,10 +95,10 @@
 // register grants the entry's lease and writes its key; it keeps the lease alive.
 func (s *storeClient) register(ctx context.Context) error {
 	e := s.entry
-	if s.lease != 0 && time.Since(s.keptAlive) < keepAliveInterval {
+	if s.lease != 0 && time.Since(s.keptAlive) < e.opts.StoreTimes.Lease/keepAlivesPerLease {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.Call)
 	defer cancel()
 	if s.lease != 0 {
 		err := e.opts.Store.KeepAlive(callCtx, s.lease)
@@ -110,7 +111,7 @@
 		}
 		s.lease = 0
 	}
-	id, err := e.opts.Store.GrantLease(callCtx, entryLease)
+	id, err := e.opts.Store.GrantLease(callCtx, e.opts.StoreTimes.Lease)
 	if err != nil {
 		return err
 	}
@@ -137,7 +138,7 @@
 	if s.lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.entry.opts.StoreTimes.Call)
 	defer cancel()
 	if err := s.entry.opts.Store.Revoke(ctx, s.lease); err != nil {
 		s.entry.opts.Log.Debug("Lease not revoked.", "err", err)
@@ -147,7 +148,7 @@
 // read lists the region's keys with one call.
 func (s *storeClient) read(ctx context.Context) (region, error) {
 	e := s.entry
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.Call)
 	defer cancel()
 	r := region{started: e.now(), peers: map[string]peerRecord{}, table: shard.NewTable(e.opts.Shards)}
 	entries, _, err := e.opts.Store.List(callCtx, s.prefix)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,8 +1,8 @@
 // Package wire carries protobuf frames between the system's processes over
 // yamux sessions on TCP, optionally with mutual TLS.
 //
-// A session that is silent for SilenceLimit is closed: yamux sends a ping each
-// keepAliveInterval and waits at most pingTimeout for the reply. Every frame
+// A session that is silent for the silence limit is closed: yamux sends a ping
+// each half of it and waits less than the other half for the reply. Every frame
 // read and write has a deadline.
 package wire
 
@@ -27,13 +27,14 @@
 const (
 	// MaxFrameBytes is the largest frame accepted.
 	MaxFrameBytes = 1 << 20
-	// SilenceLimit is the time after which a silent session is closed.
-	SilenceLimit = keepAliveInterval + pingTimeout
-
-	keepAliveInterval = 1 * time.Second
-	pingTimeout       = 900 * time.Millisecond
-	dialTimeout       = 1 * time.Second
-	writeTimeout      = 2 * time.Second
+	// DefaultSilence is the time after which a silent session is closed.
+	DefaultSilence = 2 * time.Second
+
+	// pingSlack is left of the second half of the silence limit for the
+	// scheduling of the check itself.
+	pingSlack    = 100 * time.Millisecond
+	dialTimeout  = 1 * time.Second
+	writeTimeout = 2 * time.Second
 	// acceptBacklog bounds the streams that the peer may open before they are
 	// accepted; it is above the 64 connections of an upstream times its entries.
 	acceptBacklog = 1024
@@ -42,6 +43,13 @@
 // ErrClosed means the session has ended.
 var ErrClosed = errors.New("wire: session closed")
 
+// Config configures sessions.
+type Config struct {
+	TLS     *tls.Config   // nil: plain TCP
+	Stats   *Stats        // nil: traffic is not counted; may be shared by sessions
+	Silence time.Duration // 0: DefaultSilence
+}
+
 // Stats counts the bytes of a session, including yamux framing.
 type Stats struct {
 	BytesSent     atomic.Uint64
@@ -50,43 +58,41 @@
 
 // Session is one connection to another process. It is safe for concurrent use.
 type Session struct {
-	mux   *yamux.Session
-	stats *Stats
+	mux *yamux.Session
 }
 
-// Dial connects to a listening process. A nil TLS configuration means plain TCP.
-// Traffic is counted in stats, which may be shared by several sessions.
-func Dial(ctx context.Context, address string, tlsConfig *tls.Config, stats *Stats) (*Session, error) {
+// Dial connects to a listening process.
+func Dial(ctx context.Context, address string, cfg Config) (*Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	if tlsConfig != nil {
-		secured := tls.Client(conn, tlsConfig)
+	if cfg.TLS != nil {
+		secured := tls.Client(conn, cfg.TLS)
 		if err := secured.HandshakeContext(ctx); err != nil {
 			_ = conn.Close()
 			return nil, fmt.Errorf("TLS handshake with %s: %w", address, err)
 		}
 		conn = secured
 	}
-	mux, err := yamux.Client(count(conn, stats), muxConfig())
+	mux, err := yamux.Client(count(conn, cfg.Stats), muxConfig(cfg.Silence))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	return &Session{mux: mux, stats: stats}, nil
+	return &Session{mux: mux}, nil
 }
 
-// Accept starts a session on an accepted connection.
-func Accept(conn net.Conn, stats *Stats) (*Session, error) {
-	mux, err := yamux.Server(count(conn, stats), muxConfig())
+// Accept starts a session on a connection of a listener, which has done TLS.
+func Accept(conn net.Conn, cfg Config) (*Session, error) {
+	mux, err := yamux.Server(count(conn, cfg.Stats), muxConfig(cfg.Silence))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session: %w", err)
 	}
-	return &Session{mux: mux, stats: stats}, nil
+	return &Session{mux: mux}, nil
 }
 
 // Listen listens on a TCP address, with TLS if the configuration is not nil.
@@ -184,12 +190,15 @@
 	return frame, nil
 }
 
-func muxConfig() *yamux.Config {
+func muxConfig(silence time.Duration) *yamux.Config {
+	if silence == 0 {
+		silence = DefaultSilence
+	}
 	cfg := yamux.DefaultConfig()
 	cfg.AcceptBacklog = acceptBacklog
 	cfg.EnableKeepAlive = true
-	cfg.KeepAliveInterval = keepAliveInterval
-	cfg.ConnectionWriteTimeout = pingTimeout
+	cfg.KeepAliveInterval = silence / 2
+	cfg.ConnectionWriteTimeout = silence/2 - pingSlack
 	cfg.LogOutput = io.Discard
 	return cfg
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -27,11 +27,11 @@
 			return
 		}
 		conns <- conn
-		if s, err := Accept(conn, nil); err == nil {
+		if s, err := Accept(conn, Config{}); err == nil {
 			accepted <- s
 		}
 	}()
-	client, err = Dial(context.Background(), listener.Addr().String(), nil, &Stats{})
+	client, err = Dial(context.Background(), listener.Addr().String(), Config{Stats: &Stats{}})
 	require.NoError(t, err)
 	server = <-accepted
 	t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
@@ -101,7 +101,7 @@
 			}
 		}
 	}()
-	session, err := Accept(near, nil)
+	session, err := Accept(near, Config{})
 	require.NoError(t, err)
 	select {
 	case <-session.Done():
