--- a/coord/explore/explore_test.go
+++ b/coord/explore/explore_test.go
@@ -48,7 +48,6 @@
 		{"permit from the receive time", "delay", func(_ *Options, f *lease.Faults) { f.FromReceive = true }},
 		{"attestation ignored by the new owner", "outage", func(_ *Options, f *lease.Faults) { f.IgnoreAttestation = true }},
 		{"only the current epoch asked", "outage", func(_ *Options, f *lease.Faults) { f.CurrentEpochOnly = true }},
-		{"revived after expiry", "all", func(o *Options, f *lease.Faults) { f.Revive, o.Rerun = true, true }},
 		{"hold limit without drift", "drift", func(_ *Options, f *lease.Faults) { f.HoldWithoutDrift = true }},
 		{"own renewals ignored", "outage", func(_ *Options, f *lease.Faults) { f.ForgetOwnAcks = true }},
 		{"start without verification", "start", func(_ *Options, f *lease.Faults) { f.StartUnverified = true }},
--- a/coord/explore/protocol.go
+++ b/coord/explore/protocol.go
@@ -95,9 +95,7 @@
 // extend renews the worker's lease; the worker refuses once it has lapsed.
 func (w *World) extend(j int, p lease.Action) {
 	a := w.agents[j]
-	if _, ok := a.running[p.Attempt.Key]; !ok && w.o.Rerun {
-		w.started[p.Attempt.Key.Attempt]++
-	} else if !ok {
+	if _, ok := a.running[p.Attempt.Key]; !ok {
 		a.holder.Stopped(w.local(), p.Attempt.Key)
 		return
 	}
--- a/coord/explore/world.go
+++ b/coord/explore/world.go
@@ -27,8 +27,6 @@
 	// ReleaseEarly verifies the shard at an agent again before the agent has
 	// tombstoned an attempt that was proven ended by time.
 	ReleaseEarly bool
-	// Rerun makes the agent run an ended attempt again when it is renewed.
-	Rerun bool
 	// ReadListsOnce reads the member lists only at the first question.
 	ReadListsOnce bool
 	// Coarse leaves out single heartbeats, delayed and lost messages and
--- a/coord/lease/witness_test.go
+++ b/coord/lease/witness_test.go
@@ -88,8 +88,10 @@
 			r.Lists(now, lists)
 		}
 		proven = proven || r.Decide(now) == PermitEnded
-		if proven && len(h.Running()) > 0 {
-			return s
+		for _, p := range h.Running() {
+			if proven && p.Until > now {
+				return s
+			}
 		}
 	}
 	return 0
@@ -114,6 +116,7 @@
 		{"only the current epoch asked", Faults{CurrentEpochOnly: true}, true},
 		{"majority of an earlier epoch", Faults{AnyEpoch: true}, true},
 		{"attestation ignored", Faults{IgnoreAttestation: true}, true},
+		{"revived after expiry", Faults{Revive: true}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
