--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -18,7 +18,8 @@
 // Tick ends backoffs and lets tasks that have waited long for fragmented room age
 // into a hold: room on one VM that no other batch task gets. It returns requests
 // to make room for urgent tasks, and for held batch tasks whose VM does not become
-// free by itself. Call it about once a second.
+// free by itself. A request is repeated by each Tick until the task has its room; the
+// caller evicts for it once. Call it about once a second.
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.endBackoffs(now)
 	s.queue.prune()
--- a/internal/scheduler/plugins/plugins.go
+++ b/internal/scheduler/plugins/plugins.go
@@ -13,7 +13,7 @@
 
 // SlowdownLimit is the logarithm of the highest predicted slowdown of an urgent
 // task that batch tasks may cause: 12%, the level below which package interference
-// takes its reaction back. With a higher limit VMs stay throttled for good.
+// takes its reaction back.
 const SlowdownLimit = 0.113
 
 // Default returns the plugins of a scheduler that uses the learned model. Call
@@ -23,7 +23,7 @@
 	inter := interference.New(model, SlowdownLimit)
 	sp := spread.New()
 	return scheduler.Plugins{
-		Filters:  []scheduler.Filter{quarantine.Plugin{}, capacity.Plugin{Headroom: capacity.Headroom}, accelerators.Plugin{}, inter},
+		Filters:  []scheduler.Filter{quarantine.Plugin{}, capacity.Plugin{}, accelerators.Plugin{}, inter},
 		Scores:   []scheduler.Score{inter, fragmentation.Plugin{}, accelerators.Plugin{}, sp},
 		Reserves: []scheduler.Reserve{capacity.Plugin{}, sp},
 	}, inter
