Test the task life through outages of the key-value service

Cause: the sequences only lost answers; owners also meet refused calls. Change: outages and recoveries join the rapid sequences of TestTaskLife. Conclusion: the invariants hold.

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -145,6 +145,8 @@
 			"cancel": func(t *rapid.T) {
 				_ = w.pick().shard.Cancel(fmt.Sprint("j", rapid.IntRange(0, w.jobs/2+1).Draw(t, "job")), w.now)
 			},
+			"outage":       func(*rapid.T) { w.store.SetFaults(kv.Faults{Down: true}) },
+			"recovery":     func(*rapid.T) { w.store.SetFaults(kv.Faults{}) },
 			"lose answers": func(t *rapid.T) { w.store.SetFaults(kv.Faults{LoseAnswers: rapid.IntRange(1, 4).Draw(t, "n")}) },
 		})
 		w.settle()
--- a/internal/jobs/world_test.go
+++ b/internal/jobs/world_test.go
@@ -95,7 +95,7 @@
 	w.generation++
 	log, records, err := shardlog.Open(context.Background(), w.store, 0, w.generation, fmt.Sprint("e", w.generation))
 	if err != nil {
-		require.ErrorIs(w.t, err, kv.ErrUncertain)
+		w.transient(err)
 		return
 	}
 	shard, err := jobs.Load(0, w.generation, records)
@@ -116,6 +116,10 @@
 	w.perform(o, shard.Outstanding(""))
 }
 
+func (w *world) transient(err error) {
+	require.True(w.t, errors.Is(err, kv.ErrUncertain) || errors.Is(err, kv.ErrUnavailable), "%v", err)
+}
+
 func sameJob(a, b structs.Job) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 
 // current returns one of the last two owners, so that a stale one keeps acting.
@@ -145,7 +149,7 @@
 		w.owners = slices.DeleteFunc(w.owners, func(x *owner) bool { return x == o })
 		return
 	case err != nil:
-		require.ErrorIs(w.t, err, kv.ErrUncertain)
+		w.transient(err)
 		if last {
 			w.doubt = o.view
 		}
