Test that a task does not wait for ever behind tasks without an end

Cause: room that long-running tasks occupy never becomes free by itself. Change: a test of the request to make room for a batch task that waited. Conclusion: the request comes after twice the holding time, and the room goes to the task that waited.

--- a/internal/scheduler/life_test.go
+++ b/internal/scheduler/life_test.go
@@ -208,3 +208,24 @@
 	}
 	require.Equal(t, 3, inside, "at most a third")
 }
+
+// TestHoldBehindUnendingTasks guards against a task that waits for ever for room
+// that tasks without an end occupy.
+func TestHoldBehindUnendingTasks(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	s.SetNode(vm(1))
+	feed := batch("feed", cpu(4), 0)
+	feed.LongRunning = true
+	s.Add(feed, epoch)
+	require.Len(t, drain(s, epoch), 1)
+	s.Add(batch("whole", cpu(16), time.Minute), epoch)
+	require.Empty(t, drain(s, epoch))
+	require.Empty(t, s.Tick(epoch.Add(time.Minute)), "a hold, but no request yet")
+	ds := s.Tick(epoch.Add(2 * time.Minute))
+	require.Len(t, ds, 1)
+	require.Equal(t, scheduler.MakeRoom, ds[0].Kind)
+	require.Equal(t, int64(4000), ds[0].Short.MilliCPU)
+	s.Release(structs.TaskID{Job: "feed"})
+	s.Add(feed, epoch.Add(2*time.Minute))
+	require.Equal(t, "whole", drain(s, epoch.Add(2*time.Minute))[0].Task.ID.Job, "the room goes to the task that waited")
+}
