--- a/coord/explore/explore_test.go
+++ b/coord/explore/explore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -83,3 +84,18 @@
 		}
 	})
 }
+
+// TestSeeds repeats the random paths of fixed seeds. Such a path found the start
+// in flight that is accepted after a proof by time.
+func TestSeeds(t *testing.T) {
+	for _, entries := range []int{3, 4} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			t.Parallel()
+			o := DefaultOptions()
+			o.Entries, o.Faults, o.SlowAgents = entries, 14, entries == 3
+			if seed, v := WalkSeeds(o, 120, 1, 800); v != nil {
+				t.Fatal("seed", seed, v)
+			}
+		})
+	}
+}
