Verify the dialled host under TLS and share the use of teams between entries

Cause: the new test of the roles showed that no session starts under mutual TLS, because the client configuration had no server name (condition never satisfied within 60 s); quotas were enforced by each entry alone, so a team could use its quota once per entry. Change: the TLS configuration is built per dialled host; each entry writes what teams use through it into its own key at most every 5 s, which the others read with their regular read of the region. The use costs at most 0.2 writes/s per entry and no read.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"time"
 
@@ -44,7 +43,7 @@
 	Entries  []string     // session addresses of entries known from settings
 	Worker   worker.Client
 	Upstream upstream.Client
-	TLS      *tls.Config // nil: plain TCP
+	TLS      wire.ClientTLS // nil: plain TCP
 	Log      *log.Logger
 	Tracer   trace.Tracer
 	Drain    time.Duration // 0: 30 s
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net"
 	"strconv"
@@ -51,7 +50,7 @@
 	Advertise     string       // session address for agents and other entries
 	API           string       // API address for status output
 	Store         kv.Store
-	TLS           *tls.Config // for sessions to other entries; nil: plain TCP
+	TLS           wire.ClientTLS // for sessions to other entries; nil: plain TCP
 	Log           *log.Logger
 	Tracer        trace.Tracer
 	Drain         time.Duration  // 0: 30 s
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -115,7 +115,9 @@
 	switch d.Kind {
 	case scheduler.Placed:
 		a := j.c.agents[d.Node.ID]
-		if a == nil || a.session == nil || j.handover.Draining(s.id) {
+		// Without a member list the end of the attempt could only be proven by
+		// the hold limit.
+		if a == nil || a.session == nil || j.handover.Draining(s.id) || j.c.verifier.Epoch() == 0 {
 			return errNotOwner
 		}
 		ev.Kind, ev.Worker, ev.Incarnation, ev.Epoch = jobs.Place, d.Node.ID, a.node.Incarnation, j.c.verifier.Epoch()
@@ -265,3 +267,32 @@
 		j.ledger.SetTeam(customer.Team, customer.Quota, 1)
 	}
 }
+
+// teamUse returns what each team uses through this entry.
+func (j *jobControl) teamUse() map[string]structs.Resources {
+	use := map[string]structs.Resources{}
+	for _, customer := range j.c.customers {
+		if used := j.ledger.Used(customer.Team); customer.Team != "" && used != (structs.Resources{}) {
+			use[customer.Team] = used
+		}
+	}
+	return use
+}
+
+// onPeers takes over what the teams use through the other entries.
+func (j *jobControl) onPeers(peers map[string]peerRecord) {
+	remote := map[string]structs.Resources{}
+	for id, peer := range peers {
+		if id == j.c.entry.incarnation {
+			continue
+		}
+		for team, used := range peer.TeamUse {
+			remote[team] = remote[team].Add(used)
+		}
+	}
+	for _, customer := range j.c.customers {
+		if customer.Team != "" {
+			j.ledger.SetRemote(customer.Team, remote[customer.Team])
+		}
+	}
+}
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -12,6 +13,7 @@
 	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/coord/shard"
 	"vanillalock.example/vanillalock/internal/kv"
+	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -23,6 +25,9 @@
 	storeInterval = time.Second
 	// keepAlivesPerLease lets two of three renewals fail.
 	keepAlivesPerLease = 3
+	// useInterval is the time between two writes of the use of the teams. A team
+	// can exceed its quota by what starts at other entries within it.
+	useInterval = 5 * time.Second
 )
 
 // peerRecord is the value of an entry's own key.
@@ -32,6 +37,8 @@
 	Session       string `json:"session"`
 	API           string `json:"api"`
 	FailureDomain string `json:"failure_domain"`
+	// TeamUse is what the teams use through this entry, for the quotas.
+	TeamUse map[string]structs.Resources `json:"team_use,omitempty"`
 }
 
 // region is what one read of the region's keys returned.
@@ -64,6 +71,10 @@
 	lease     kv.LeaseID
 	keptAlive time.Time
 	seq       uint64 // of this writer's values
+
+	version uint64 // of the entry's own key
+	use     map[string]structs.Resources
+	useAt   time.Time
 }
 
 // round registers the entry, reads the region and writes what the control
@@ -75,6 +86,7 @@
 		s.entry.opts.Log.Debug("Not registered.", "err", err)
 		return
 	}
+	s.publishUse(ctx)
 	r, err := s.read(ctx)
 	if err != nil {
 		s.entry.opts.Log.Debug("Region not read.", "err", err)
@@ -115,22 +127,56 @@
 	if err != nil {
 		return err
 	}
+	s.lease, s.keptAlive, s.version = id, time.Now(), 0
+	if old, err := e.opts.Store.Get(callCtx, s.key()); err == nil {
+		s.version = old.Version
+	}
+	return s.writeSelf(callCtx)
+}
+
+func (s *storeClient) key() string { return s.prefix + "entries/" + s.entry.incarnation }
+
+// writeSelf writes the entry's own key. A lost answer is repaired by the next
+// registration, which reads the version.
+func (s *storeClient) writeSelf(ctx context.Context) error {
+	e := s.entry
 	value, err := json.Marshal(peerRecord{
-		Incarnation: e.incarnation, ID: e.opts.ID, Session: e.opts.Advertise, API: e.opts.API, FailureDomain: e.opts.FailureDomain,
+		Incarnation: e.incarnation, ID: e.opts.ID, Session: e.opts.Advertise, API: e.opts.API,
+		FailureDomain: e.opts.FailureDomain, TeamUse: s.use,
 	})
 	if err != nil {
 		return err
 	}
-	key := s.prefix + "entries/" + e.incarnation
-	version := uint64(0)
-	if old, err := e.opts.Store.Get(callCtx, key); err == nil {
-		version = old.Version
+	entry, err := e.opts.Store.CompareAndSwap(ctx, s.key(), s.version, value, s.lease)
+	if err == nil {
+		s.version = entry.Version
+		return nil
 	}
-	if _, err := e.opts.Store.CompareAndSwap(callCtx, key, version, value, id); err != nil && !errors.Is(err, kv.ErrUncertain) {
-		return err
+	if errors.Is(err, kv.ErrUncertain) || errors.Is(err, kv.ErrConflict) {
+		if read, readErr := e.opts.Store.Get(ctx, s.key()); readErr == nil {
+			s.version = read.Version
+			return nil
+		}
+	}
+	s.lease = 0
+	return err
+}
+
+// publishUse writes what the teams use through this entry when it has changed.
+func (s *storeClient) publishUse(ctx context.Context) {
+	if time.Since(s.useAt) < useInterval {
+		return
+	}
+	use, ok := ask(ctx, s.entry, func(c *control) map[string]structs.Resources { return c.jobs.teamUse() })
+	if !ok || maps.Equal(use, s.use) {
+		return
+	}
+	s.use, s.useAt = use, time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, s.entry.opts.StoreTimes.Call)
+	defer cancel()
+	if err := s.writeSelf(callCtx); err != nil {
+		s.entry.opts.Log.Debug("Use of the teams not written.", "err", err)
 	}
-	s.lease, s.keptAlive = id, time.Now()
-	return nil
 }
 
 // unregister ends the lease on a planned stop, so that nobody waits for it.
@@ -243,6 +289,7 @@
 func (c *control) onRegion(r region) storePlan {
 	c.peers = r.peers
 	c.members.Observers(c.otherEntries())
+	c.jobs.onPeers(r.peers)
 	c.onTable(r)
 	live := r.live()
 	c.jobs.planner.Live(r.read, live)
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -97,7 +97,10 @@
 }
 
 // tlsPair is the TLS configuration of a process, nil fields mean plain TCP.
-type tlsPair struct{ server, client *tls.Config }
+type tlsPair struct {
+	server *tls.Config
+	client wire.ClientTLS
+}
 
 func entryTLS(s settings.Entry) (tlsPair, error) { return newTLS(s.TLS) }
 
@@ -112,7 +115,7 @@
 	if err != nil {
 		return tlsPair{}, err
 	}
-	return tlsPair{server: reloader.Server(), client: reloader.Client("")}, nil
+	return tlsPair{server: reloader.Server(), client: reloader.Client}, nil
 }
 
 func newStore(lc fx.Lifecycle, s settings.Entry) (kv.Store, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -46,9 +46,13 @@
 // ErrClosed means the session has ended.
 var ErrClosed = errors.New("wire: session closed")
 
+// ClientTLS returns the TLS configuration for dialling a host; the host's
+// certificate must be valid for its name or IP address.
+type ClientTLS func(host string) *tls.Config
+
 // Config configures sessions.
 type Config struct {
-	TLS     *tls.Config   // nil: plain TCP
+	TLS     ClientTLS     // of dialled sessions; nil: plain TCP
 	Stats   *Stats        // nil: traffic is not counted; may be shared by sessions
 	Silence time.Duration // 0: DefaultSilence
 }
@@ -73,7 +77,12 @@
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	if cfg.TLS != nil {
-		secured := tls.Client(conn, cfg.TLS)
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("session address %s: %w", address, err)
+		}
+		secured := tls.Client(conn, cfg.TLS(host))
 		if err := secured.HandshakeContext(ctx); err != nil {
 			_ = conn.Close()
 			return nil, fmt.Errorf("TLS handshake with %s: %w", address, err)
