Withhold a shard from an agent until it confirms the attempts restarted elsewhere

Cause: the exploration of coord/explore showed that after proof P2 a start that was still on its way could be accepted when the agent was renewed again; the entry released the shard at the moment of the proof. Change: the entry keeps the attempts that it restarted without the agent's word and withholds the shard there until the agent has tombstoned each; the witness rule asks from the epoch that the same agent incarnation reported last. Conclusion: the wired entry follows the explored rule.

--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -22,6 +22,11 @@
 	shard uint32
 }
 
+// reportedEpoch is the member list epoch that an agent incarnation last reported.
+type reportedEpoch struct {
+	incarnation, epoch uint64
+}
+
 // restart gathers the proof that the attempts on a missing VM have ended.
 type restart struct {
 	proof  *lease.Restart
@@ -29,14 +34,19 @@
 	asking bool
 }
 
+// ended are the attempts of one restartKey that were proven to have ended
+// without their agent. Their starts may still be on the way to it, so the shard
+// stays withheld from that agent until it has tombstoned each of them.
+type ended map[structs.TaskID]structs.Token
+
 // attached reconciles the attempts of a VM whose agent has (re)connected.
 func (j *jobControl) attached(a *agentState, announce *pb.Announce) {
 	j.sched.SetNode(a.node)
 	j.policy.nodeChanged(a)
 	for key := range j.restarts {
 		if key.vm == a.node.ID {
-			j.c.verifier.Release(key.vm, key.shard)
 			delete(j.restarts, key)
+			j.release(key)
 		}
 	}
 	for _, s := range j.owned {
@@ -46,6 +56,24 @@
 	}
 }
 
+// release renews the permits of a shard at an agent again, unless attempts
+// there were restarted without the agent's confirmation.
+func (j *jobControl) release(key restartKey) {
+	if len(j.ended[key]) == 0 {
+		delete(j.ended, key)
+		j.c.verifier.Release(key.vm, key.shard)
+	}
+}
+
+// confirmed records that the agent does not run an attempt and never will.
+func (j *jobControl) confirmed(a *agentState, s *ownedShard, id structs.TaskID, token structs.Token) {
+	key := restartKey{a.node.ID, s.id}
+	if have, ok := j.ended[key][id]; ok && have.Attempt == token.Attempt {
+		delete(j.ended[key], id)
+		j.release(key)
+	}
+}
+
 // reconcile repeats the calls that wait for an event of the VM's agent and asks
 // about every attempt that is thought to run there. An agent that does not know
 // an attempt tombstones it, which proves that it has ended.
@@ -54,18 +82,25 @@
 	if a == nil {
 		return
 	}
+	for id, token := range j.ended[restartKey{vm, s.id}] {
+		j.query(a, s, id, token)
+	}
 	j.perform(s, s.state.Outstanding(vm))
 	s.state.Active(func(id structs.TaskID, _ *structs.Job, t structs.Task) {
 		if t.Worker != vm || t.State == structs.TaskPlaced && t.Incarnation == a.node.Incarnation {
 			return
 		}
-		token := structs.Token{Generation: t.Generation, Attempt: t.Attempt}
-		j.c.post(a, &pb.Frame{Body: &pb.Frame_TaskQuery{TaskQuery: &pb.TaskQuery{
-			Task: taskRef(s, id, token), Tombstone: true,
-		}}})
+		j.query(a, s, id, structs.Token{Generation: t.Generation, Attempt: t.Attempt})
 	})
 }
 
+// query asks about an attempt; an agent that does not know it tombstones it.
+func (j *jobControl) query(a *agentState, s *ownedShard, id structs.TaskID, token structs.Token) {
+	j.c.post(a, &pb.Frame{Body: &pb.Frame_TaskQuery{TaskQuery: &pb.TaskQuery{
+		Task: taskRef(s, id, token), Tombstone: true,
+	}}})
+}
+
 // agentRemoved takes the VM out of the scheduler. Its attempts wait for a proof.
 func (j *jobControl) agentRemoved(a *agentState) {
 	j.sched.RemoveNode(a.node.ID)
@@ -91,10 +126,10 @@
 		return
 	}
 	// The lowest epoch of the attempts there serves for all of them.
-	epoch := t.Epoch
+	epoch := j.floorOf(t)
 	s.state.Active(func(_ structs.TaskID, _ *structs.Job, other structs.Task) {
 		if other.Worker == t.Worker {
-			epoch = min(epoch, other.Epoch)
+			epoch = min(epoch, j.floorOf(other))
 		}
 	})
 	proof := lease.NewRestart(j.c.entry.opts.Lease, s.ownedAt, epoch)
@@ -105,6 +140,16 @@
 	j.c.entry.opts.Log.Info("VM missing. Waiting for its permits to end.", "vm", t.Worker, "shard", s.id)
 }
 
+// floorOf is the lowest member list epoch under which an attempt can still be
+// renewed by attestation: that of its placement, or a later one that the same
+// agent incarnation has reported.
+func (j *jobControl) floorOf(t structs.Task) uint64 {
+	if last, ok := j.epochs[t.Worker]; ok && last.incarnation == t.Incarnation {
+		return max(t.Epoch, last.epoch)
+	}
+	return t.Epoch
+}
+
 // driveRestarts asks members for their statements and restarts attempts that
 // are proven to have ended.
 func (j *jobControl) driveRestarts() {
@@ -125,8 +170,7 @@
 			continue
 		}
 		j.c.entry.opts.Log.Info("Permits ended. Restarting tasks.", "vm", key.vm, "shard", key.shard)
-		j.gone(s, key.vm)
-		j.c.verifier.Release(key.vm, key.shard)
+		j.gone(s, key)
 		delete(j.restarts, key)
 	}
 }
@@ -180,10 +224,15 @@
 }
 
 // gone restarts every attempt of a shard on a VM.
-func (j *jobControl) gone(s *ownedShard, vm string) {
+func (j *jobControl) gone(s *ownedShard, key restartKey) {
 	var events []jobs.Event
+	vm := key.vm
+	if j.ended[key] == nil {
+		j.ended[key] = ended{}
+	}
 	s.state.Active(func(id structs.TaskID, _ *structs.Job, t structs.Task) {
 		if t.Worker == vm {
+			j.ended[key][id] = structs.Token{Generation: t.Generation, Attempt: t.Attempt}
 			events = append(events, jobs.Event{
 				Kind: jobs.Gone, Task: id, Token: structs.Token{Generation: t.Generation, Attempt: t.Attempt},
 				Worker: vm, Reason: "the VM is lost",
@@ -213,6 +262,9 @@
 		Reason: status.Reason, Ref: te.Seq,
 	}
 	now := time.Now()
+	if status.State != agent.StateRunning {
+		j.confirmed(a, s, id, ev.Token)
+	}
 	switch status.State {
 	case agent.StateRunning:
 		j.policy.saved(id, now)
@@ -242,6 +294,7 @@
 // onHeartbeat feeds the agent's reservations and measurements to the scheduler
 // and the policy.
 func (j *jobControl) onHeartbeat(a *agentState, h *pb.Heartbeat) {
+	j.epochs[a.node.ID] = reportedEpoch{a.node.Incarnation, h.MembersEpoch}
 	if a.load != nil {
 		j.sched.SetReported(a.node.ID, resourcesOf(a.load.Reserved))
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -53,6 +53,8 @@
 
 	submitters map[string][]chan<- error
 	restarts   map[restartKey]*restart
+	ended      map[restartKey]ended
+	epochs     map[string]reportedEpoch // by VM, kept after its removal
 	leaving    bool
 }
 
@@ -67,6 +69,8 @@
 		ledger:     quota.New(),
 		submitters: map[string][]chan<- error{},
 		restarts:   map[restartKey]*restart{},
+		ended:      map[restartKey]ended{},
+		epochs:     map[string]reportedEpoch{},
 	}
 	j.policy, j.sched = newPolicy(j)
 	return j
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -89,6 +89,12 @@
 			delete(j.restarts, key)
 		}
 	}
+	for key := range j.ended {
+		if key.shard == s.id {
+			j.c.verifier.Release(key.vm, s.id)
+			delete(j.ended, key)
+		}
+	}
 	if s.state == nil {
 		return
 	}
