--- a/internal/obs/log.go
+++ b/internal/obs/log.go
@@ -52,7 +52,21 @@
 	default:
 		return nil, fmt.Errorf("log format %q is neither %s nor %s", format, FormatText, FormatJSON)
 	}
-	return log.NewWithOptions(w, o), nil
+	return log.NewWithOptions(&lockedWriter{w: w}, o), nil
+}
+
+// lockedWriter serializes lines: the loggers of the parts share a writer but
+// not a lock.
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lockedWriter) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(line)
 }
 
 // Logger returns the logger of one part of the process; part is the prefix of
--- a/internal/obs/obs_test.go
+++ b/internal/obs/obs_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,24 @@
 	assert.Error(t, SetupLogging(&out, "info", "xml"))
 }
 
+// Guards against lines of two parts written into each other; the race detector
+// sees a writer that is used without a lock.
+func TestPartsShareWriter(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := NewLogger(&out, "info", FormatText)
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	for _, part := range []string{"entry", "agent"} {
+		wg.Go(func() {
+			for range 100 {
+				logger.WithPrefix(part).Info("Line.")
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, 200, bytes.Count(out.Bytes(), []byte("Line.\n")))
+}
+
 // Guards against spans that are lost at the end of the process, and against a
 // trace that breaks at a hop.
 func TestTraceAcrossHop(t *testing.T) {
