Read the results of demo and load in the report

Cause: 'vanillalock report' read only its own schema, which no command writes. Change: results with the schemas of demo and load are converted; an unknown schema is an error. Two results show the ratio of their latencies and label their tables with the run. The expected positions in TestLatencyCurve follow the wider right margin; the check is as strict as before.

--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -5,6 +5,7 @@
 	"html/template"
 	"io"
 	"math"
+	"slices"
 )
 
 type bar struct {
@@ -22,6 +23,8 @@
 	Plots     []plot
 	Groups    []barGroup
 	Quantiles Table
+	Changes   Table
+	Tables    []Table
 }
 
 // WriteHTML writes one page for one result, or for two that are compared. The
@@ -30,7 +33,7 @@
 	if err := checkCount(results); err != nil {
 		return err
 	}
-	v := view{Results: results, Groups: barGroups(results), Quantiles: quantiles(results)}
+	v := view{Results: results, Groups: barGroups(results), Quantiles: quantiles(results), Changes: changes(results), Tables: tables(results)}
 	if p, ok := latencyPlot(results); ok {
 		v.Plots = append(v.Plots, p)
 	}
@@ -87,6 +90,46 @@
 	return t
 }
 
+// changes divides the quantiles of the second of two results by those of the
+// first, for the classes of both. The title tells when the loads differ.
+func changes(results []Result) Table {
+	t := Table{Title: "Latency, run 2 / run 1", Columns: []string{"class", "p50", "p99", "p99.9"}}
+	if len(results) != 2 {
+		return t
+	}
+	if results[0].Command != results[1].Command {
+		t.Title += " (the commands differ)"
+	}
+	for _, before := range results[0].Histograms {
+		i := slices.IndexFunc(results[1].Histograms, func(h Histogram) bool { return h.Class == before.Class })
+		if i < 0 {
+			continue
+		}
+		row := []string{before.Class}
+		for _, q := range []float64{0.5, 0.99, 0.999} {
+			row = append(row, ratio(Comparison{Policy: results[1].Histograms[i].Quantile(q), Baseline: before.Quantile(q)}))
+		}
+		t.Rows = append(t.Rows, row)
+	}
+	return t
+}
+
+// tables returns the tables of all results, those of the same title together.
+func tables(results []Result) []Table {
+	titles, groups := indexer{}, [][]Table{}
+	for run, r := range results {
+		for _, t := range r.Tables {
+			at := titles.of(t.Title)
+			if at == len(groups) {
+				groups = append(groups, nil)
+			}
+			t.Title = label(t.Title, run, len(results))
+			groups[at] = append(groups[at], t)
+		}
+	}
+	return slices.Concat(groups...)
+}
+
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8">
 <meta name="viewport" content="width=device-width, initial-scale=1">
@@ -100,7 +143,7 @@
 .track { height: 1em; } .track div { height: 100%; } .key { display: inline-block; margin-right: 1em; }
 code { overflow-wrap: anywhere; }
 </style></head><body>
-{{range .Results}}<h1>{{.Title}}</h1><p><code>{{.Command}}</code>, seed {{.Seed}}</p>
+{{range $i, $r := .Results}}<h1>{{.Title}}{{if gt (len $.Results) 1}} (run {{if eq $i 0}}1{{else}}2{{end}}){{end}}</h1><p><code>{{.Call}}</code></p>
 {{end}}
 {{range $p := .Plots}}<h2>{{.Title}}</h2>
 <svg viewBox="0 0 {{.Width}} {{.Height}}" role="img" aria-label="{{.Title}}">
@@ -108,18 +151,19 @@
 <text x="{{.At}}" y="{{$p.Base}}" dy="12" text-anchor="middle">{{.Text}}</text>
 {{end}}{{range .YTicks}}<line x1="{{$p.Left}}" x2="{{$p.Right}}" y1="{{.At}}" y2="{{.At}}" stroke="currentColor" stroke-opacity="0.15"/>
 <text x="{{$p.Left}}" y="{{.At}}" dx="-3" dy="3" text-anchor="end">{{.Text}}</text>
-{{end}}{{range .Lines}}<polyline points="{{.Points}}" fill="none" stroke="{{.Color}}" stroke-width="1.5"{{if .Dash}} stroke-dasharray="{{.Dash}}"{{end}}><title>{{.Name}}</title></polyline>
+{{end}}{{range .Lines}}<polyline points="{{.Points}}" fill="none" stroke="{{.Color}}" stroke-width="{{.Width}}"{{if .Dash}} stroke-dasharray="{{.Dash}}"{{end}}><title>{{.Name}}</title></polyline>
 {{end}}<text x="{{.Right}}" y="{{.Height}}" dy="-4" text-anchor="end">{{.XLabel}}</text>
 </svg>
 <p>Vertical axis: {{.YLabel}}.<br>{{range .Lines}}<span class="key"><svg viewBox="0 0 24 8" style="width:24px" aria-hidden="true"><line x1="0" x2="24" y1="4" y2="4" stroke="{{.Color}}" stroke-width="3"{{if .Dash}} stroke-dasharray="{{.Dash}}"{{end}}/></svg> {{.Name}}</span>{{end}}</p>
 {{end}}
 {{if .Quantiles.Rows}}{{template "table" .Quantiles}}{{end}}
+{{if .Changes.Rows}}{{template "table" .Changes}}{{end}}
 {{if .Groups}}<h2>Policy beside baseline</h2>{{end}}
 {{range .Groups}}<h3>{{.Title}}</h3>
 {{range .Bars}}<div>{{.Name}}: {{.Value}}</div><div class="track"><div style="width:{{.Percent}}%;background:{{.Color}}"></div></div>
 {{end}}<p>Ratio policy / baseline: {{.Ratio}}</p>
 {{end}}
-{{range .Results}}{{range .Tables}}{{template "table" .}}{{end}}{{end}}
+{{range .Tables}}{{template "table" .}}{{end}}
 </body></html>
 {{define "table"}}<h2>{{.Title}}</h2><div class="scroll"><table><tr>{{range .Columns}}<th>{{.}}</th>{{end}}</tr>
 {{range .Rows}}<tr>{{range .}}<td>{{.}}</td>{{end}}</tr>
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -3,13 +3,14 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 )
 
 // Size of a plot in user units; the page scales it to the width of the screen.
 const (
 	plotWidth, plotHeight   = 360.0, 220.0
-	marginLeft, marginRight = 44.0, 8.0
+	marginLeft, marginRight = 44.0, 16.0
 	marginTop, marginBottom = 8.0, 28.0
 	maxDrawn                = 600 // points of a line; more are thinned out
 )
@@ -27,6 +28,22 @@
 
 type line struct {
 	Name, Color, Dash, Points string
+	Width                     float64
+}
+
+// Widths of lines in user units. The first line of a plot is wide, so that it
+// shows under a later one that covers it, as done requests cover the offered.
+const (
+	firstWidth = 3.5
+	otherWidth = 1.5
+)
+
+func (p *plot) add(l line) {
+	l.Width = otherWidth
+	if len(p.Lines) == 0 {
+		l.Width = firstWidth
+	}
+	p.Lines = append(p.Lines, l)
 }
 
 type plot struct {
@@ -88,7 +105,14 @@
 	return 10 * base
 }
 
-func number(v float64) string { return fmt.Sprintf("%.4g", v) }
+// number writes large numbers without an exponent, which is wide and hard to
+// read on an axis.
+func number(v float64) string {
+	if math.Abs(v) >= 1e4 && math.Abs(v) < 1e15 {
+		return strconv.FormatFloat(v, 'f', 0, 64)
+	}
+	return fmt.Sprintf("%.4g", v)
+}
 
 func share(v float64) string { return fmt.Sprintf("%g %%", math.Round(v*1e6)/1e4) }
 
@@ -137,7 +161,7 @@
 // latencyPlot draws the share of requests that take longer than a time, both
 // axes logarithmic, so that the tail is visible.
 func latencyPlot(results []Result) (plot, bool) {
-	p := newPlot("Latency per class", "ms", "share that takes longer")
+	p := newPlot("Latency per class", "ms", "share that takes longer, straight between known points")
 	low, high := math.Inf(1), 0.0
 	for _, r := range results {
 		for _, h := range r.Histograms {
@@ -163,7 +187,7 @@
 				continue
 			}
 			color, dash := style(colors.of(h.Class), run)
-			p.Lines = append(p.Lines, line{label(h.Class, run, len(results)), color, dash, points(x, y, h.slower(low))})
+			p.add(line{Name: label(h.Class, run, len(results)), Color: color, Dash: dash, Points: points(x, y, h.slower(low))})
 		}
 	}
 	return p, true
@@ -231,7 +255,7 @@
 		for _, s := range r.Series {
 			if s.Plot == name && len(s.Points) > 0 {
 				color, dash := style(colors.of(s.Name), run)
-				p.Lines = append(p.Lines, line{label(s.Name, run, len(results)), color, dash, points(x, y, s.Points)})
+				p.add(line{Name: label(s.Name, run, len(results)), Color: color, Dash: dash, Points: points(x, y, s.Points)})
 			}
 		}
 	}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -85,7 +85,7 @@
 	x := func(part float64) float64 { return p.Left + part*(p.Right-p.Left) }
 	assert.InDelta(t, x(0.5), p.XTicks[1].At, 1e-9)
 	// 10 % above 1 ms is a quarter of the way down four decades.
-	assert.True(t, strings.HasPrefix(p.Lines[0].Points, "44.0,8.0 44.0,54.0 198.0,100.0 352.0,192.0"), p.Lines[0].Points)
+	assert.True(t, strings.HasPrefix(p.Lines[0].Points, "44.0,8.0 44.0,54.0 194.0,100.0 344.0,192.0"), p.Lines[0].Points)
 }
 
 // Guards against a result that cannot be drawn and is accepted.
--- a/internal/report/schema.go
+++ b/internal/report/schema.go
@@ -3,11 +3,11 @@
 package report
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
+	"strings"
 )
 
 // MaxResultBytes bounds a result file.
@@ -30,6 +30,14 @@
 	Tables     []Table      `json:"tables,omitempty"`
 }
 
+// Call returns the command with the seed.
+func (r Result) Call() string {
+	if strings.Contains(r.Command, "--seed ") {
+		return r.Command
+	}
+	return fmt.Sprintf("%s, seed %d", r.Command, r.Seed)
+}
+
 // Series is a value over time. Series of the same plot share its axes.
 type Series struct {
 	Plot   string       `json:"plot"`
@@ -73,7 +81,8 @@
 	Rows    [][]string `json:"rows"`
 }
 
-// Read decodes and checks one result.
+// Read decodes and checks one result: a Result, or the JSON of a demonstration
+// or of a load.
 func Read(r io.Reader) (Result, error) {
 	var out Result
 	data, err := io.ReadAll(io.LimitReader(r, MaxResultBytes+1))
@@ -83,7 +92,7 @@
 	if len(data) > MaxResultBytes {
 		return out, fmt.Errorf("the result exceeds %d bytes", MaxResultBytes)
 	}
-	if err := json.Unmarshal(data, &out); err != nil {
+	if out, err = decode(data); err != nil {
 		return out, fmt.Errorf("decoding the result: %w", err)
 	}
 	return out, out.Check()
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -16,11 +16,14 @@
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for run, r := range results {
-		fmt.Fprintf(t, "%s: %s, seed %d\n", label(r.Title, run, len(results)), r.Command, r.Seed)
+		fmt.Fprintf(t, "%s: %s\n", label(r.Title, run, len(results)), r.Call())
 	}
 	if q := quantiles(results); len(q.Rows) > 0 {
 		writeTable(t, q)
 	}
+	if c := changes(results); len(c.Rows) > 0 {
+		writeTable(t, c)
+	}
 	bars := Table{Title: "Policy beside baseline", Columns: []string{"measure", "policy", "baseline", "unit", "ratio"}}
 	for run, r := range results {
 		for _, c := range r.Bars {
@@ -30,10 +33,8 @@
 	if len(bars.Rows) > 0 {
 		writeTable(t, bars)
 	}
-	for _, r := range results {
-		for _, table := range r.Tables {
-			writeTable(t, table)
-		}
+	for _, table := range tables(results) {
+		writeTable(t, table)
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("writing the summary: %w", err)
