Hedge late latency-critical requests within the retry budget

Cause: 1% of the requests are stragglers that run ten times as long; they set the p99 of urgent requests although other upstreams are idle. Change: an idempotent latency-critical request without an answer after twice the 90% quantile of its learned run time is sent to a second upstream if the retry budget allows it; the first answer counts.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -155,15 +155,15 @@
 }
 
 // attemptReturned learns from the answer of an attempt.
-func (c *control) attemptReturned(r *run, t target, code rescode.Code, load *pb.Load) {
-	ran := code.Outcome() == rescode.Done
+func (c *control) attemptReturned(r *run, result attemptResult, load *pb.Load) {
+	code, t := result.answer.Code, result.target
 	learned := time.Duration(0)
 	if code == rescode.OK {
-		learned = r.ranFor
-		c.classes.Observe(r.request.Template, r.request.Customer, r.ranFor)
+		learned = result.ran
+		c.classes.Observe(r.request.Template, r.request.Customer, result.ran)
 	}
 	c.router.Returned(t.handle, r.estimate.Class, learned, r.learned())
-	if ran || code == rescode.NoUpstream || code == rescode.AnswerLost {
+	if code.Outcome() == rescode.Done || code == rescode.NoUpstream || code == rescode.AnswerLost {
 		c.observe(t.agent, code != rescode.OK)
 	}
 	if a := c.agents[t.agent]; a != nil && a.node.Incarnation == t.incarnation {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -65,7 +65,7 @@
 			}
 			return notRun(r.request.ID, rescode.NoUpstream)
 		}
-		answer := e.attempt(ctx, r, t)
+		answer := r.record(e.attemptHedged(ctx, r, t))
 		outcome := answer.Code.Outcome()
 		if outcome == rescode.Done {
 			return answer
@@ -106,7 +106,8 @@
 			}
 			claim, t = moved.claim, moved.target
 		}
-		answer := e.attempt(ctx, r, t)
+		r.attempts++
+		answer := r.record(e.attempt(ctx, r, t))
 		if answer.Code.Outcome() != rescode.NotRun {
 			return answer
 		}
@@ -177,30 +178,52 @@
 	}
 }
 
-// attempt sends the request to one agent and returns what is known of it
-// afterwards.
-func (e *Entry) attempt(ctx context.Context, r *run, t target) structs.Answer {
+// attemptResult is what is known of one attempt after it.
+type attemptResult struct {
+	answer    structs.Answer
+	target    target
+	wait      time.Duration // in the agent's queue
+	ran       time.Duration // in the upstream
+	congested bool          // the agent refused for lack of room
+}
+
+// attempt sends the request to one agent.
+func (e *Entry) attempt(ctx context.Context, r *run, t target) attemptResult {
 	ctx, span := e.opts.Tracer.Start(ctx, "entry.attempt", trace.WithAttributes(attribute.String("vm", t.agent)))
 	defer span.End()
-	r.attempts++
 	started := time.Now()
 	response, sent, err := e.exchange(ctx, r, t)
 	if err == nil {
-		e.returned(r, t, response)
-		return structs.Answer{
-			RequestID: r.request.ID, Code: rescode.Code(response.Code), Detail: response.Detail,
-			Body: response.Body, Upstream: t.agent,
-		}
+		return e.answered(r, t, response)
 	}
 	e.opts.Log.Debug("Attempt ended without an answer.", "request", r.request.ID, "vm", t.agent, "err", err)
 	if !sent {
 		e.lost(r, t, false)
-		return notRun(r.request.ID, rescode.NoUpstream)
+		return attemptResult{target: t, answer: notRun(r.request.ID, rescode.NoUpstream)}
 	}
 	answer := e.resolve(ctx, t.agent, t.incarnation, r.request.ID, r.issued.UnixMicro(), r.request.Deadline)
-	r.ranFor = time.Since(started)
 	e.lost(r, t, answer.Code.Outcome() == rescode.Unknown)
-	return answer
+	return attemptResult{target: t, answer: answer, ran: time.Since(started)}
+}
+
+// answered records an answered attempt in the control state.
+func (e *Entry) answered(r *run, t target, response *pb.Response) attemptResult {
+	code := rescode.Code(response.Code)
+	result := attemptResult{
+		target: t, wait: time.Duration(response.WaitUs) * time.Microsecond, ran: time.Duration(response.RunUs) * time.Microsecond,
+		congested: code == rescode.SlotsFull || code == rescode.ConnectionsFull || code == rescode.Overloaded,
+		answer: structs.Answer{
+			RequestID: r.request.ID, Code: code, Detail: response.Detail, Body: response.Body, Upstream: t.agent,
+		},
+	}
+	e.do(e.ctx, func(c *control) { c.attemptReturned(r, result, response.Load) })
+	return result
+}
+
+// record keeps the figures of the attempt that counts for admission.
+func (r *run) record(result attemptResult) structs.Answer {
+	r.wait, r.ranFor, r.congested = result.wait, result.ran, result.congested
+	return result.answer
 }
 
 // exchange sends the request and waits for its answer. sent is false only when
@@ -332,14 +355,6 @@
 	return d
 }
 
-// returned records an answered attempt in the control state.
-func (e *Entry) returned(r *run, t target, response *pb.Response) {
-	code := rescode.Code(response.Code)
-	r.wait, r.ranFor = time.Duration(response.WaitUs)*time.Microsecond, time.Duration(response.RunUs)*time.Microsecond
-	r.congested = code == rescode.SlotsFull || code == rescode.ConnectionsFull || code == rescode.Overloaded
-	e.do(e.ctx, func(c *control) { c.attemptReturned(r, t, code, response.Load) })
-}
-
 // lost records an attempt whose session ended before its answer.
 func (e *Entry) lost(r *run, t target, failed bool) {
 	e.do(e.ctx, func(c *control) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -11,6 +11,7 @@
 	done          atomic.Int64
 	notRun        atomic.Int64
 	unknown       atomic.Int64
+	hedges        atomic.Int64
 	framesDropped atomic.Int64
 	placements    atomic.Int64
 	refusedStarts atomic.Int64
@@ -35,6 +36,7 @@
 	RequestsDone    int64  `json:"requests_done"`
 	RequestsNotRun  int64  `json:"requests_not_run"`
 	RequestsUnknown int64  `json:"requests_unknown"`
+	Hedges          int64  `json:"hedges"` // second copies of late idempotent requests
 	FramesDropped   int64  `json:"frames_dropped"`
 	Placements      int64  `json:"placements"`
 	RefusedStarts   int64  `json:"refused_starts"`
@@ -49,7 +51,7 @@
 func (e *Entry) Metrics() Snapshot {
 	m := &e.metrics
 	return Snapshot{
-		RequestsDone: m.done.Load(), RequestsNotRun: m.notRun.Load(), RequestsUnknown: m.unknown.Load(),
+		RequestsDone: m.done.Load(), RequestsNotRun: m.notRun.Load(), RequestsUnknown: m.unknown.Load(), Hedges: m.hedges.Load(),
 		FramesDropped: m.framesDropped.Load(), Placements: m.placements.Load(), RefusedStarts: m.refusedStarts.Load(),
 		Evictions: m.evictions.Load(), Takeovers: m.takeovers.Load(), LogWrites: m.logWrites.Load(),
 		BytesSent: e.stats.BytesSent.Load(), BytesReceived: e.stats.BytesReceived.Load(),
