Measure how control cost grows with the deployment

The capacity of the future scale follows only from measured slopes, and nothing measured them. internal/bench starts real entries and agents over loopback with stand-ins in process and counts session bytes, yamux frames, TCP segments, store calls, memory, allocations and processor time at three or more sizes each, with the fitted line and its spread over repeats. generate.go starts it until the command line does.

--- /dev/null
+++ b/internal/bench/page.go
@@ -0,0 +1,139 @@
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+)
+
+// Markers of the generated part of the capacity page.
+const (
+	beginMarker = "<!-- begin generated from docs/capacity.json -->"
+	endMarker   = "<!-- end generated -->"
+)
+
+// errNoMarkers means that a page lacks the markers of its generated part.
+var errNoMarkers = errors.New("the page has no markers for generated tables")
+
+// Tables returns the generated part of the capacity page.
+func Tables(r Result) (string, error) {
+	groups, items, err := evaluate(r)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "Measured with `%s`, %s, %s, %d processors, %d repeats at each size.\n", r.Command, r.GoVersion, r.Platform, r.CPUs, r.Repeats)
+	for _, g := range groups {
+		writeGroup(&b, g)
+	}
+	b.WriteString("\n### The items of the future scale\n\n| item | in figures | mechanism, and what gives way first |\n| --- | --- | --- |\n")
+	for _, item := range items {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", item[0], item[1], item[2])
+	}
+	writeOver(&b, groups)
+	writeSeries(&b, r)
+	return b.String(), nil
+}
+
+func writeGroup(b *strings.Builder, g group) {
+	fmt.Fprintf(b, "\n### %s\n\n", g.title)
+	b.WriteString("| figure | formula | series | at the future scale | budget | used | carried by | gives way first |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, row := range g.rows {
+		budget, used := "–", "–"
+		if row.budget > 0 {
+			budget, used = show(row.budget, row.unit), fmt.Sprintf("%.0f%%", 100*row.value/row.budget)
+			if row.over() {
+				used = "**" + used + "**"
+			}
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", row.quantity, row.formula, seriesNames(row.names),
+			show(row.value, row.unit), budget, used, row.carrier, row.limit)
+	}
+}
+
+func seriesNames(names []string) string {
+	if len(names) == 0 {
+		return "–"
+	}
+	return "`" + strings.Join(names, "`, `") + "`"
+}
+
+// writeOver lists the figures over their budgets.
+func writeOver(b *strings.Builder, groups []group) {
+	b.WriteString("\n### Over the budget\n\n")
+	none := true
+	for _, g := range groups {
+		for _, row := range g.rows {
+			if row.over() {
+				none = false
+				fmt.Fprintf(b, "- %s, %s: %s of %s.\n", g.title, row.quantity, show(row.value, row.unit), show(row.budget, row.unit))
+			}
+		}
+	}
+	if none {
+		b.WriteString("No figure is over its budget.\n")
+	}
+}
+
+func writeSeries(b *strings.Builder, r Result) {
+	b.WriteString("\n### Measured slopes\n\nThe command of a series is `go run internal/bench/generate.go -case` with its case. The spread is the lowest and highest slope of the lines through one repeat each.\n\n")
+	b.WriteString("| series | case | unit | per | sizes | slope | spread | at 0 |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range r.Series {
+		sizes := strings.Trim(fmt.Sprint(s.Sizes), "[]")
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s | %.4g | %.4g to %.4g | %.4g |\n", s.Name, s.Case, s.Unit, s.X, sizes, s.Slope, s.SlopeMin, s.SlopeMax, s.Intercept)
+	}
+}
+
+// show formats a value with three significant digits and a unit prefix.
+func show(v float64, unit string) string {
+	prefixed := map[string]bool{"B": true, "B/s": true}
+	switch {
+	case prefixed[unit] && math.Abs(v) >= 1e6:
+		return fmt.Sprintf("%.3g M%s", v/1e6, unit)
+	case prefixed[unit] && math.Abs(v) >= 1e3:
+		return fmt.Sprintf("%.3g K%s", v/1e3, unit)
+	case unit == "core":
+		return fmt.Sprintf("%.3g%% of a core", 100*v)
+	case unit == "s" && math.Abs(v) < 1e-3:
+		return fmt.Sprintf("%.3g µs", v*1e6)
+	case unit == "s" && math.Abs(v) < 1:
+		return fmt.Sprintf("%.3g ms", v*1e3)
+	default:
+		return fmt.Sprintf("%.3g %s", v, unit)
+	}
+}
+
+// replaceTables returns the page with its generated part replaced.
+func replaceTables(page, tables string) (string, error) {
+	begin, end := strings.Index(page, beginMarker), strings.Index(page, endMarker)
+	if begin < 0 || end < begin {
+		return "", errNoMarkers
+	}
+	return page[:begin+len(beginMarker)] + "\n\n" + tables + "\n" + page[end:], nil
+}
+
+// UpdatePage writes the tables of a result file into a page.
+func UpdatePage(page, result string) error {
+	r, err := Load(result)
+	if err != nil {
+		return err
+	}
+	tables, err := Tables(r)
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(page)
+	if err != nil {
+		return fmt.Errorf("read page: %w", err)
+	}
+	next, err := replaceTables(string(old), tables)
+	if err != nil {
+		return fmt.Errorf("%s: %w", page, err)
+	}
+	if err := os.WriteFile(page, []byte(next), 0o644); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,151 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	defaultDuration = 12 * time.Second
+	// repeats is the number of windows at one size.
+	repeats = 3
+	// minWindow holds at least one heartbeat of each agent.
+	minWindow = 2 * time.Second
+)
+
+// Options configure Run.
+type Options struct {
+	Case     []string      // names of the cases; all if empty
+	Duration time.Duration // measured time at one size; 0: 12 s
+	Seed     uint64        // of the order of requests and sizes; 0: 1
+	JSON     string        // file for the result; empty: none
+}
+
+// bench is one run.
+type bench struct {
+	options Options
+	log     io.Writer
+	result  Result
+	current map[string]*series
+	order   []string
+	caseOf  string
+}
+
+// cases are the measurements by name, in the order in which they run.
+var cases = []struct {
+	name string
+	run  func(*bench, context.Context) error
+}{
+	{"records", (*bench).records},
+	{"placement", (*bench).placement},
+	{"open", (*bench).open},
+	{"store", (*bench).storeCalls},
+	{"entries", (*bench).entries},
+	{"agents", (*bench).agents},
+	{"tasks", (*bench).tasks},
+	{"edits", (*bench).edits},
+	{"starts", (*bench).starts},
+	{"requests", (*bench).requests},
+}
+
+// Cases lists the names of the cases.
+func Cases() []string {
+	var out []string
+	for _, c := range cases {
+		out = append(out, c.name)
+	}
+	return out
+}
+
+// Run measures the chosen cases, writes a table to stdout, progress to stderr
+// and the JSON result to the file of the options.
+func Run(ctx context.Context, o Options, stdout, stderr io.Writer) error {
+	if err := withDefaults(&o); err != nil {
+		return err
+	}
+	b := &bench{options: o, log: stderr, result: newResult(o)}
+	for _, c := range cases {
+		if len(o.Case) > 0 && !slices.Contains(o.Case, c.name) {
+			continue
+		}
+		b.caseOf, b.current, b.order = c.name, map[string]*series{}, nil
+		started := time.Now()
+		if err := c.run(b, ctx); err != nil {
+			return fmt.Errorf("case %s: %w", c.name, err)
+		}
+		b.finish()
+		fmt.Fprintf(stderr, "case %s: %.0f s\n", c.name, time.Since(started).Seconds())
+	}
+	if o.JSON != "" {
+		if err := b.result.Save(o.JSON); err != nil {
+			return err
+		}
+	}
+	return b.result.WriteText(stdout)
+}
+
+func withDefaults(o *Options) error {
+	if o.Duration == 0 {
+		o.Duration = defaultDuration
+	}
+	if o.Seed == 0 {
+		o.Seed = 1
+	}
+	if o.Duration < repeats*minWindow {
+		return fmt.Errorf("a duration of %v is below %v, which %d windows need", o.Duration, repeats*minWindow, repeats)
+	}
+	for _, name := range o.Case {
+		if !slices.Contains(Cases(), name) {
+			return fmt.Errorf("unknown case %q: use some of %s", name, strings.Join(Cases(), ", "))
+		}
+	}
+	return nil
+}
+
+func newResult(o Options) Result {
+	command := fmt.Sprintf("go run internal/bench/generate.go -duration %v -seed %d", o.Duration, o.Seed)
+	if len(o.Case) > 0 {
+		command += " -case " + strings.Join(o.Case, ",")
+	}
+	return Result{
+		Schema: Schema, Command: command, GoVersion: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH,
+		CPUs: runtime.NumCPU(), Seed: o.Seed, DurationS: o.Duration.Seconds(), Repeats: repeats,
+	}
+}
+
+// window is the length of one measurement.
+func (b *bench) window() time.Duration { return b.options.Duration / repeats }
+
+// add records a sample of a series of the current case.
+func (b *bench) add(name, unit, x string, size float64, repeat int, y float64) {
+	s := b.current[name]
+	if s == nil {
+		s = &series{Series{Name: name, Case: b.caseOf, Unit: unit, X: x}}
+		b.current[name], b.order = s, append(b.order, name)
+	}
+	s.add(size, repeat, y)
+}
+
+func (b *bench) finish() {
+	for _, name := range b.order {
+		s := b.current[name]
+		s.fit()
+		b.result.Series = append(b.result.Series, s.Series)
+	}
+}
+
+// WriteText writes one line for each series.
+func (r Result) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "series\tunit\tper\tslope\tmin..max\tat 0")
+	for _, s := range r.Series {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.4g\t%.4g..%.4g\t%.4g\n", s.Name, s.Unit, s.X, s.Slope, s.SlopeMin, s.SlopeMax, s.Intercept)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/bench/segments_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package bench
+
+import "net"
+
+// segments returns 0: only Linux tells the segments of a connection.
+func segments(net.Conn) uint64 { return 0 }
