Renew worker leases while no permit is renewed

Cause: the agent renewed a worker's lease of 3 s only when an acknowledgement extended the permit. Attestation starts after 3 s without the key-value service, so that tasks lapsed at the start of an outage although their permits were valid for 10 s. Change: the agent renews the worker's leases every second within the permits. Options.Lease sets the permit rule.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/upstream"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -25,6 +26,9 @@
 const (
 	// heartbeatInterval is the time between two heartbeats to an entry.
 	heartbeatInterval = 2 * time.Second
+	// renewInterval is the time between two renewals of the worker's leases. They
+	// last up to 3 s, and permits are renewed only every 2 s while all is well.
+	renewInterval = time.Second
 	// tickInterval drives expiry, reclassification and dispatch deadlines.
 	tickInterval = 50 * time.Millisecond
 	// leaveGrace is how long after announcing its departure an agent still
@@ -46,6 +50,7 @@
 	Log      *log.Logger
 	Tracer   trace.Tracer
 	Drain    time.Duration // 0: 30 s
+	Lease    lease.Config  // zero: lease.Default(); the same in every process of a region
 }
 
 // Agent is one agent incarnation.
@@ -72,6 +77,9 @@
 	if opts.Drain == 0 {
 		opts.Drain = defaultDrain
 	}
+	if opts.Lease == (lease.Config{}) {
+		opts.Lease = lease.Default()
+	}
 	return &Agent{
 		opts:    opts,
 		events:  make(chan func(*control), eventBacklog),
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/coord/propagation"
 	"vanillalock.example/vanillalock/internal/request/classify"
 	"vanillalock.example/vanillalock/internal/request/dedup"
@@ -58,7 +57,7 @@
 		sessions: map[string]*entrySession{},
 		config:   propagation.NewReplica(),
 	}
-	c.tasks = newTaskTable(c, lease.Default())
+	c.tasks = newTaskTable(c, a.opts.Lease)
 	return c
 }
 
@@ -70,6 +69,8 @@
 	defer heartbeat.Stop()
 	poll := time.NewTicker(taskPollInterval)
 	defer poll.Stop()
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
 	for {
 		// Permits that ended during a pause are handled before any event that
 		// waited meanwhile.
@@ -88,6 +89,8 @@
 			c.pump()
 		case <-heartbeat.C:
 			c.sendHeartbeats()
+		case <-renew.C:
+			c.tasks.renewWorker()
 		case <-poll.C:
 			c.tasks.poll()
 		}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -68,7 +68,13 @@
 		if err := a.serveSession(ctx, s); err != nil {
 			a.opts.Log.Debug("Session ended.", "entry", s.address, "err", err)
 		}
-		a.do(ctx, func(*control) { s.connected = false })
+		a.do(ctx, func(c *control) {
+			if s.connected {
+				s.connected = false
+				// The entries attest for the shards of an owner that has died.
+				c.sendHeartbeats()
+			}
+		})
 		if time.Since(started) > redialMax {
 			backoff = redialMin
 		}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -119,6 +119,10 @@
 	}
 }
 
+// renewWorker keeps the worker's leases alive as long as the permits allow it,
+// also while no permit is renewed.
+func (t *taskTable) renewWorker() { t.perform(t.holder.Running()) }
+
 // extend renews the worker's lease of a running attempt.
 func (t *taskTable) extend(a *attempt, until lease.Instant) {
 	duration := t.cfg.WorkerLease(t.now(), until)
