Refuse a job as not run when its owner cannot be reached

Cause: a failed dial to the owner of a shard was reported as uncertain, which says that the job may have been accepted. Change: a call that was never sent is treated like a shard without an owner: it is tried again and then refused as not run. Before: TestStoreOutageWithEntryKilled, outcome unknown (code 3003). After: not run.

--- a/internal/entry/jobcalls.go
+++ b/internal/entry/jobcalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"time"
 
@@ -252,6 +253,9 @@
 	reply, err := e.callPeer(ctx, peer, &pb.Frame{Body: &pb.Frame_JobCall{JobCall: &pb.JobCall{
 		Operation: operation, Job: id, Payload: payload,
 	}}}, submitTimeout+peerTimeout)
+	if errors.Is(err, errNotSent) {
+		return nil, rescode.Errorf(rescode.NotOwner, "entry %s is out of reach: %w", peer.ID, err)
+	}
 	if err != nil {
 		return nil, rescode.Errorf(rescode.StoreUncertain, "entry %s does not answer: %w", peer.ID, err)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"vanillalock.example/vanillalock/coord/membership"
@@ -15,7 +16,11 @@
 // peerTimeout bounds one question to another entry.
 const peerTimeout = 2 * time.Second
 
-var errUnexpectedFrame = errors.New("the entry sent an unexpected frame")
+var (
+	errUnexpectedFrame = errors.New("the entry sent an unexpected frame")
+	// errNotSent proves that the other entry received nothing.
+	errNotSent = errors.New("the entry accepts no session")
+)
 
 // servePeer answers the questions of another entry, one stream each.
 func (e *Entry) servePeer(ctx context.Context, session *wire.Session, stream *wire.Stream, frame *pb.Frame) {
@@ -129,12 +134,12 @@
 func (e *Entry) callPeer(ctx context.Context, peer peerRecord, frame *pb.Frame, timeout time.Duration) (*pb.Frame, error) {
 	session, err := wire.Dial(ctx, peer.Session, e.opts.TLS, &e.stats)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	defer session.Close()
 	stream, err := session.Open()
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	if err := stream.Send(frame); err != nil {
 		return nil, err
