--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,9 @@
 const (
 	// defaultHeartbeat is the time between two heartbeats to an entry.
 	defaultHeartbeat = 2 * time.Second
+	// renewInterval is the time between two renewals of the worker's leases. They
+	// last up to 3 s, and permits are renewed only every 2 s while all is well.
+	renewInterval = time.Second
 	// tickInterval drives expiry, reclassification and dispatch deadlines.
 	tickInterval = 50 * time.Millisecond
 	// leaveGrace is how long after announcing its departure an agent still
