Carry the trace context to upstream, worker and key-value service

Cause: a trace ended at the agent; the upstream could not continue it. Change: JSON calls send the W3C traceparent header if the context has one.

--- a/internal/httpjson/caller.go
+++ b/internal/httpjson/caller.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"vanillalock.example/vanillalock/internal/obs"
 )
 
 // Defaults of Options.
@@ -178,6 +180,9 @@
 	// No Idempotency-Key header: the transport would resend the request on a
 	// broken connection, and the caller could not tell how often it ran.
 	req.Header.Set("Content-Type", "application/json")
+	if traceparent := obs.Traceparent(ctx); traceparent != "" {
+		req.Header.Set("Traceparent", traceparent)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return c.failed(err, sent.Load())
