--- a/internal/command/clients.go
+++ b/internal/command/clients.go
@@ -92,6 +92,11 @@
 	Get    requestGetCmd    `cmd:"" help:"Fetch the answer of an earlier request."`
 }
 
+// Help implements kong.HelpProvider.
+func (requestCmd) Help() string {
+	return "Example: vanillalock request submit --template gate-check --customer park-7"
+}
+
 type requestSubmitCmd struct {
 	connection
 	Template  string            `required:"" help:"Name of the template."`
@@ -160,6 +165,11 @@
 	List   jobListCmd   `cmd:"" help:"List jobs."`
 }
 
+// Help implements kong.HelpProvider.
+func (jobCmd) Help() string {
+	return "Example: vanillalock job submit --template render --customer home-3"
+}
+
 type jobSubmitCmd struct {
 	connection
 	Template  string            `required:"" help:"Name of the template."`
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -160,6 +160,11 @@
 	Check configCheckCmd `cmd:"" help:"Check a settings file and print the effective settings."`
 }
 
+// Help implements kong.HelpProvider.
+func (configCmd) Help() string {
+	return "Example: vanillalock config check examples/entry.toml --role entry"
+}
+
 type configCheckCmd struct {
 	File string `arg:"" help:"Settings file."`
 	Role string `required:"" enum:"entry,agent" help:"Role of the file: entry or agent."`
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -54,8 +54,10 @@
 	require.NoError(t, err)
 	leaves := 0
 	require.NoError(t, kong.Visit(parser.Model, func(node kong.Visitable, next kong.Next) error {
-		if n, ok := node.(*kong.Node); ok && n.Leaf() {
-			leaves++
+		if n, ok := node.(*kong.Node); ok && n.Type == kong.CommandNode {
+			if n.Leaf() {
+				leaves++
+			}
 			code, out, _ := run(allRunners(), "", append(strings.Fields(n.Path()), "--help")...)
 			assert.Equal(t, ExitOK, code)
 			assert.Contains(t, out, "Example: vanillalock "+n.Path())
--- a/internal/command/objects.go
+++ b/internal/command/objects.go
@@ -44,6 +44,9 @@
 	Delete deleteCmd[customerType] `cmd:"" help:"Delete a customer."`
 }
 
+// Help implements kong.HelpProvider.
+func (templateCmd) Help() string { return "Example: vanillalock template set -f slot-check.json" }
+
 type templateListCmd struct{ connection }
 
 // Help implements kong.HelpProvider.
@@ -64,6 +67,9 @@
 	})
 }
 
+// Help implements kong.HelpProvider.
+func (customerCmd) Help() string { return "Example: vanillalock customer set -f tivoli-park.json" }
+
 type customerListCmd struct{ connection }
 
 // Help implements kong.HelpProvider.
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -44,6 +44,9 @@
 	kong.Plugins
 }
 
+// Help implements kong.HelpProvider.
+func (*standins) Help() string { return "Example: vanillalock standin kv --listen 127.0.0.1:9000" }
+
 // newStandins returns the stand-ins that have a runner.
 func newStandins(r Runners) *standins {
 	s := &standins{}
