--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"time"
 
@@ -27,6 +26,9 @@
 const (
 	// defaultHeartbeat is the time between two heartbeats to an entry.
 	defaultHeartbeat = 2 * time.Second
+	// renewInterval is the time between two renewals of the worker's leases. They
+	// last up to 3 s, and permits are renewed only every 2 s while all is well.
+	renewInterval = time.Second
 	// tickInterval drives expiry, reclassification and dispatch deadlines.
 	tickInterval = 50 * time.Millisecond
 	// leaveGrace is how long after announcing its departure an agent still
@@ -44,7 +46,7 @@
 	Entries  []string     // session addresses of entries known from settings
 	Worker   worker.Client
 	Upstream upstream.Client
-	TLS      *tls.Config // nil: plain TCP
+	TLS      wire.ClientTLS // nil: plain TCP
 	Log      *log.Logger
 	Tracer   trace.Tracer
 	Drain    time.Duration // 0: 30 s
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,9 +24,10 @@
 	waiters  map[dedup.Waiter]chan<- reply
 	waiterID dedup.Waiter
 
-	sessions map[string]*entrySession // by dialled address
-	config   *propagation.Replica
-	tasks    *taskTable
+	sessions  map[string]*entrySession // by dialled address
+	usageSent time.Time
+	config    *propagation.Replica
+	tasks     *taskTable
 
 	leaving      bool
 	leavingSince time.Time
@@ -69,6 +70,8 @@
 	defer heartbeat.Stop()
 	poll := time.NewTicker(taskPollInterval)
 	defer poll.Stop()
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
 	for {
 		// Permits that ended during a pause are handled before any event that
 		// waited meanwhile.
@@ -87,6 +90,8 @@
 			c.pump()
 		case <-heartbeat.C:
 			c.sendHeartbeats()
+		case <-renew.C:
+			c.tasks.renewWorker()
 		case <-poll.C:
 			c.tasks.poll()
 		}
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -89,6 +89,12 @@
 			delete(j.restarts, key)
 		}
 	}
+	for key := range j.ended {
+		if key.shard == s.id {
+			j.c.verifier.Release(key.vm, s.id)
+			delete(j.ended, key)
+		}
+	}
 	if s.state == nil {
 		return
 	}
@@ -98,7 +104,7 @@
 			id := structs.TaskID{Job: job.ID, Index: t.Index}
 			j.sched.Withdraw(id)
 			j.sched.Release(id)
-			j.policy.released(id)
+			j.policy.finished(id)
 		}
 	}
 }
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -97,7 +97,10 @@
 }
 
 // tlsPair is the TLS configuration of a process, nil fields mean plain TCP.
-type tlsPair struct{ server, client *tls.Config }
+type tlsPair struct {
+	server *tls.Config
+	client wire.ClientTLS
+}
 
 func entryTLS(s settings.Entry) (tlsPair, error) { return newTLS(s.TLS) }
 
@@ -112,7 +115,7 @@
 	if err != nil {
 		return tlsPair{}, err
 	}
-	return tlsPair{server: reloader.Server(), client: reloader.Client("")}, nil
+	return tlsPair{server: reloader.Server(), client: reloader.Client}, nil
 }
 
 func newStore(lc fx.Lifecycle, s settings.Entry) (kv.Store, error) {
@@ -179,6 +182,7 @@
 		return fmt.Errorf("listen on %s: %w", s.HTTP.Listen, err)
 	}
 	publish("entry", func() any { return e.Metrics() })
+	publish("process", costSince(time.Now()))
 	limits := api.Limits{MaxBodyBytes: s.Requests.MaxBodyBytes, MaxTimeout: s.Requests.MaxTimeout, Metrics: s.Metrics.Enabled}
 	serveHTTP(lc, listener, api.NewServer(api.NewHandler(e, limits, obs.Logger("api"))), s.DrainDeadline)
 	return nil
