Repeat calls that wait for an agent's event

Cause: a start or stop that did not fit the outbox of a slow session was repeated only after the session ended; found by reading the code for a wave of cancellations. Change: every 5 s the owner repeats the calls whose event is outstanding. Figures: the demo tests pass; no measurement of a full outbox has been made. Conclusion: agents recognize repetitions by token, so a repetition costs one frame.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -20,6 +20,10 @@
 	// submissions or cancellations does not hold up other events: 200 per 50 ms
 	// are far above the peak of 48 starts/s.
 	decisionsPerTick = 200
+	// repeatInterval is the time between two repetitions of the calls that wait
+	// for an event of an agent. A call is lost when it does not fit the outbox of
+	// a slow session; agents recognize repetitions by their token.
+	repeatInterval = 5 * time.Second
 	// settleTime is how long after its start an entry waits for agents before it
 	// says that a task can never run.
 	settleTime = 10 * time.Second
@@ -51,6 +55,7 @@
 	sched  *scheduler.Scheduler
 	policy *policy
 
+	repeated   time.Time // when outstanding calls were last repeated
 	submitters map[string][]chan<- error
 	restarts   map[restartKey]*restart
 	ended      map[restartKey]ended
@@ -103,11 +108,24 @@
 	for _, d := range j.sched.Tick(now) {
 		j.makeRoom(d)
 	}
+	if now.Sub(j.repeated) >= repeatInterval {
+		j.repeated = now
+		j.repeatCalls()
+	}
 	j.trackMissing(now)
 	j.driveRestarts()
 	j.policy.everySecond(now)
 }
 
+// repeatCalls sends the calls again that still wait for an agent's event.
+func (j *jobControl) repeatCalls() {
+	for _, s := range j.owned {
+		if s.state != nil {
+			j.perform(s, s.state.Outstanding(""))
+		}
+	}
+}
+
 // Submit implements scheduler.Planner: it makes a decision part of the task's
 // life. The start is sent when it is durable.
 func (j *jobControl) Submit(d scheduler.Decision) error {
