Bound the usage reports of an agent by a byte budget

Cause: an idle agent spends 316 B/s for control with 3 entries, 105 B/s per entry; usage reports of 23 tasks to 6 entries each 5 s would add about 1.4 KB/s and reach the 2 KB/s budget. Change: reports take at most 800 B/s; with more tasks or entries they become rarer than each 5 s. Conclusion: usage reports no longer grow with tasks times entries.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,10 +24,11 @@
 	waiters  map[dedup.Waiter]chan<- reply
 	waiterID dedup.Waiter
 
-	sessions  map[string]*entrySession // by dialled address
-	usageSent time.Time
-	config    *propagation.Replica
-	tasks     *taskTable
+	sessions   map[string]*entrySession // by dialled address
+	usageSent  time.Time
+	usagePause time.Duration
+	config     *propagation.Replica
+	tasks      *taskTable
 
 	leaving      bool
 	leavingSince time.Time
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/coord/propagation"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -18,9 +20,12 @@
 	// outboxSize bounds the control frames that wait for a slow entry. Frames
 	// beyond it are dropped: heartbeats and task events are sent again anyway.
 	outboxSize = 256
-	// usageInterval is the time between two usage reports. At 23 tasks per VM
-	// and 6 entries a report each 5 s costs about 1.2 of the 2 KB/s of a node.
+	// usageInterval is the least time between two usage reports.
 	usageInterval = 5 * time.Second
+	// usageBudget is what usage reports may cost in bytes per second, of the
+	// 2 KB/s of a node for control. With 23 tasks and 6 entries reports at the
+	// least interval would cost about 1.4 KB/s; they become rarer instead.
+	usageBudget = 800
 	// forgetAfter is how long an agent keeps dialling an address that no entry
 	// names any more.
 	forgetAfter = 10 * time.Minute
@@ -239,27 +244,45 @@
 func (c *control) sendHeartbeats() {
 	c.forget(c.agent.opts.Entries)
 	seq := c.tasks.heartbeatSent()
-	report := time.Since(c.usageSent) >= usageInterval
+	var usage []*pb.TaskUsage
+	report := time.Since(c.usageSent) >= c.usagePause
 	if report {
-		c.usageSent = time.Now()
+		usage = c.tasks.usage()
+		c.usageSent, c.usagePause = time.Now(), usagePause(usage, c.connected())
+	}
+	for _, s := range c.sessions {
+		c.sendHeartbeatWith(s, seq, usage, report)
 	}
+}
+
+// usagePause is the time until the next usage report to the given number of
+// entries.
+func usagePause(usage []*pb.TaskUsage, entries int) time.Duration {
+	bytes := proto.Size(&pb.Heartbeat{Usage: usage}) * entries
+	return max(usageInterval, time.Duration(bytes)*time.Second/usageBudget)
+}
+
+func (c *control) connected() int {
+	n := 0
 	for _, s := range c.sessions {
-		c.sendHeartbeatWith(s, seq, report)
+		if s.connected {
+			n++
+		}
 	}
+	return n
 }
 
-func (c *control) sendHeartbeat(s *entrySession, seq uint64) { c.sendHeartbeatWith(s, seq, false) }
+func (c *control) sendHeartbeat(s *entrySession, seq uint64) {
+	c.sendHeartbeatWith(s, seq, nil, false)
+}
 
-func (c *control) sendHeartbeatWith(s *entrySession, seq uint64, withUsage bool) {
+func (c *control) sendHeartbeatWith(s *entrySession, seq uint64, usage []*pb.TaskUsage, reported bool) {
 	if !s.connected {
 		return
 	}
 	heartbeat := &pb.Heartbeat{
 		Seq: seq, Load: c.load(), ConfigRevision: c.config.Revision(), ConfigDigest: c.config.Digest(), Leaving: c.leaving,
-		MembersEpoch: c.tasks.holder.Epoch(),
-	}
-	if withUsage {
-		heartbeat.Usage, heartbeat.UsageReported = c.tasks.usage(), true
+		MembersEpoch: c.tasks.holder.Epoch(), Usage: usage, UsageReported: reported,
 	}
 	c.post(s, &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: heartbeat}})
 	for _, frame := range c.tasks.pendingEvents(s) {
