--- a/internal/report/convert_demo.go
+++ b/internal/report/convert_demo.go
@@ -42,9 +42,9 @@
 		Watches uint64 `json:"watches"`
 	} `json:"store_peak_per_second"`
 	WorstNode struct {
-		VM             string  `json:"vm"`
-		BytesPerSecond float64 `json:"bytes_per_second"`
-		Requests       int64   `json:"requests"`
+		VM       string   `json:"vm"`
+		Control  *float64 `json:"control_bytes_per_second"` // absent in older results
+		Requests int64    `json:"requests"`
 	} `json:"worst_node"`
 }
 
@@ -64,8 +64,11 @@
 		cells("edits accepted", r.Edits.Accepted), cells("slowest edit in force everywhere", fmt.Sprintf("%d ms", r.Edits.SlowestMs)),
 		cells("key-value calls in the busiest second", fmt.Sprintf("%d reads, %d writes, %d watches", r.StorePeak.Reads, r.StorePeak.Writes, r.StorePeak.Watches)),
 		cells("job log writes", r.LogWrites),
-		cells("busiest node", fmt.Sprintf("%s: %.0f bytes/s with %d requests", r.WorstNode.VM, r.WorstNode.BytesPerSecond, r.WorstNode.Requests)),
 	}}
+	if n := r.WorstNode; n.Control != nil {
+		summary.Rows = append(summary.Rows, cells("busiest node",
+			fmt.Sprintf("%s: %.0f bytes/s of control traffic with %d requests", n.VM, *n.Control, n.Requests)))
+	}
 	invariants := Table{Title: "Invariants", Columns: []string{"invariant", "violations"}}
 	for _, name := range slices.Sorted(maps.Keys(r.Invariants)) {
 		invariants.Rows = append(invariants.Rows, cells(name, r.Invariants[name]))
--- a/internal/report/convert_test.go
+++ b/internal/report/convert_test.go
@@ -29,7 +29,8 @@
 // against an unknown schema that is drawn as an empty page.
 func TestConvertsReportsOfTheTools(t *testing.T) {
 	d := demo.Report{Schema: demo.ReportSchema, Deployment: demo.PasjiUrnik, Duration: 20, Seed: 7, Violations: 3,
-		Invariants: map[string]int{"single_run": 3}, Evictions: 41, Load: loadReport()}
+		Invariants: map[string]int{"single_run": 3}, Evictions: 41, Load: loadReport(),
+		WorstNode: demo.NodeCost{VM: "vm-1", ControlBytesPerSecond: 1234}}
 	var asLoad, asDemo bytes.Buffer
 	require.NoError(t, loadReport().WriteJSON(&asLoad))
 	require.NoError(t, d.WriteJSON(&asDemo))
@@ -37,6 +38,7 @@
 		{asLoad.String(), "vanillalock load --entry URL --profile steady --rate 50 --duration 2s --seed 7", "[booking urgent 1001 1000 "},
 		{asDemo.String(), "vanillalock demo --deployment pasji-urnik --duration 20s --seed 7", "[single_run 3]"},
 		{asDemo.String(), "vanillalock demo --deployment pasji-urnik --duration 20s --seed 7", "[evictions 41]"},
+		{asDemo.String(), "vanillalock demo --deployment pasji-urnik --duration 20s --seed 7", "[busiest node vm-1: 1234 bytes/s of control"},
 	} {
 		r, err := Read(strings.NewReader(c.input))
 		require.NoError(t, err)
