Keep tasks running while the owner of their shard is dead

Cause: the lease of a dead entry lasts 10 s, as long as a permit, and the worker's lease ends 3 s earlier. So the tasks of a dead owner's shards ended before another entry took the shards over. The tests did not see it because Kill revoked the lease, which a crash cannot. The first member list also held one entry until the grace of 15 s was over. Change: each entry holds an idle session with every other one. While shards belong to an entry that is not listed or is out of reach, the others attest. Proofs that permits have ended rest on when members attested and never on why, so the witness rule is unchanged. A member list may grow during the grace. The lease is revoked only after a graceful shutdown.

--- a/coord/lease/verifier.go
+++ b/coord/lease/verifier.go
@@ -15,6 +15,7 @@
 	list     MemberList
 	withheld map[hold]bool
 	acked    map[hold]Instant
+	lost     bool // the owner of some shard is lost
 }
 
 type hold struct {
@@ -42,6 +43,13 @@
 	v.owned = slices.Clone(owned)
 }
 
+// OwnerLost sets whether the owner of some shard is dead or out of reach and
+// nobody has taken the shard over. The entry then attests although the store
+// answers: a dead owner's lease lasts as long as a permit, so that permits
+// would end before the takeover. A proof that permits have ended rests on the
+// members' statements when they attested and never on why they did.
+func (v *Verifier) OwnerLost(lost bool) { v.lost = lost }
+
 // Members records the member list as read from the store. It never goes back.
 func (v *Verifier) Members(list MemberList) {
 	if list.Epoch > v.list.Epoch {
@@ -68,7 +76,7 @@
 			v.acked[h] = now
 		}
 	}
-	if now-v.contact >= v.cfg.Silence && v.list.Has(v.id) {
+	if (v.lost || now-v.contact >= v.cfg.Silence) && v.list.Has(v.id) {
 		a.NoContact = true
 		v.attested = now
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -49,6 +49,8 @@
 	// Store.
 	verifier *lease.Verifier
 	peers    map[string]peerRecord
+	probed   map[string]bool          // peers with a probe
+	lost     map[string]lease.Instant // peers out of reach, since when
 	jobs     *jobControl
 
 	leaving bool
@@ -75,6 +77,8 @@
 		customers:    map[string]structs.Customer{},
 		verifier:     lease.NewVerifier(e.opts.Lease, e.incarnation, 0),
 		peers:        map[string]peerRecord{},
+		probed:       map[string]bool{},
+		lost:         map[string]lease.Instant{},
 	}
 	c.jobs = newJobControl(c)
 	return c
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// isDrained reports whether a graceful shutdown has ended.
+func (e *Entry) isDrained() bool {
+	select {
+	case <-e.drained:
+		return true
+	default:
+		return false
+	}
+}
+
 // drainWhenLeaving stops accepting, waits for the work in flight and ends the
 // loop. The drain deadline bounds it.
 func (e *Entry) drainWhenLeaving(ctx context.Context) {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -179,6 +179,7 @@
 // acknowledge builds the answer to a heartbeat. It states the verified age and
 // any attestation, so it is sent once and never repeated.
 func (c *control) acknowledge(a *agentState, seq uint64) *pb.HeartbeatAck {
+	c.verifier.OwnerLost(c.ownerLost())
 	ack := c.verifier.Ack(c.entry.now(), a.node.ID, seq, a.epoch)
 	out := &pb.HeartbeatAck{
 		Seq: ack.Seq, Entry: ack.Entry, Verified: ack.Verified, VerifiedAgeUs: microsRoundedUp(ack.VerifiedAge),
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -134,7 +134,7 @@
 
 // unregister ends the lease on a planned stop, so that nobody waits for it.
 func (s *storeClient) unregister() {
-	if s.lease == 0 {
+	if s.lease == 0 || !s.entry.isDrained() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
@@ -243,6 +243,7 @@
 	c.peers = r.peers
 	c.members.Observers(c.otherEntries())
 	c.onTable(r)
+	c.probePeers()
 	live := r.live()
 	c.jobs.planner.Live(r.read, live)
 	current := r.members.Current()
@@ -250,13 +251,19 @@
 	c.jobs.onMembers(r)
 	plan := storePlan{changes: c.jobs.plan(r.read, r.table)}
 	// The first live entry writes new epochs, so that they do not race. During
-	// the grace after an outage live entries are still registering.
+	// the grace after an outage live entries are still registering, so that the
+	// list only grows.
 	first := len(live) > 0 && live[0] == c.entry.incarnation
-	settled := !c.jobs.planner.InGrace(r.read) || current.Epoch == 0
+	settled := !c.jobs.planner.InGrace(r.read) || includes(live, current.Members)
 	plan.updateMembers = first && settled && !slices.Equal(live, current.Members)
 	return plan
 }
 
+// includes reports whether all holds every name of part.
+func includes(all, part []string) bool {
+	return !slices.ContainsFunc(part, func(name string) bool { return !slices.Contains(all, name) })
+}
+
 // onTable takes over the ownership table as read or written.
 func (c *control) onTable(r region) {
 	var owned []lease.ShardGeneration
--- /dev/null
+++ b/internal/faults/cluster_test.go
@@ -0,0 +1,204 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/api"
+	"vanillalock.example/vanillalock/internal/demo"
+	"vanillalock.example/vanillalock/internal/load"
+	"vanillalock.example/vanillalock/internal/standin/audit"
+	standinkv "vanillalock.example/vanillalock/internal/standin/kv"
+	standinworker "vanillalock.example/vanillalock/internal/standin/worker"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+const (
+	// guard ends a test that hangs.
+	guard = 4 * time.Minute
+	poll  = 50 * time.Millisecond
+)
+
+// cluster is a deployment with the answers that callers received.
+type cluster struct {
+	*demo.System
+	t      *testing.T
+	ctx    context.Context
+	notRun []string
+}
+
+// start starts a configured deployment with three entries.
+func start(t *testing.T, o demo.SystemOptions) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), guard)
+	t.Cleanup(cancel)
+	d, err := demo.Find(demo.LienHoa)
+	require.NoError(t, err)
+	for i := range d.Templates {
+		if d.Templates[i].Name == "memorial-render" {
+			d.Templates[i].ExpectedMillis = 20_000
+		}
+	}
+	s, err := demo.Start(ctx, d, o)
+	require.NoError(t, err)
+	t.Cleanup(s.Kill)
+	require.NoError(t, s.Configure(ctx))
+	require.NoError(t, s.WaitReady(ctx))
+	c := &cluster{System: s, t: t, ctx: ctx}
+	for _, e := range s.Entries {
+		c.eventually("a complete list of members", func() bool { return len(e.Entry.Status(ctx).Members) == len(s.Entries) })
+	}
+	return c
+}
+
+// submit accepts a job through an entry.
+func (c *cluster) submit(entry int, template string, count int) structs.Job {
+	c.t.Helper()
+	job, err := c.Entries[entry].Entry.SubmitJob(c.ctx, api.JobInput{Template: template, Customer: "can-tho-funeral-home", Count: count})
+	require.NoError(c.t, err)
+	return job
+}
+
+// eventually waits for a condition; only the guard limits the wait.
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	for !condition() {
+		select {
+		case <-c.ctx.Done():
+			c.t.Fatalf("%s did not happen; events: %+v", what, c.events())
+		case <-time.After(poll):
+		}
+	}
+}
+
+func (c *cluster) events() []standinworker.Event {
+	var out []standinworker.Event
+	for _, w := range c.Workers {
+		out = append(out, w.Records().Events...)
+	}
+	return out
+}
+
+// count returns the worker events of a kind for the tasks of a job; without a
+// job for all tasks.
+func (c *cluster) count(kind standinworker.EventKind, job string) int {
+	n := 0
+	for _, e := range c.events() {
+		if e.Kind == kind && (job == "" || e.Task.Job == job) {
+			n++
+		}
+	}
+	return n
+}
+
+// running waits until every task of the jobs runs on a worker and its owner
+// knows it.
+func (c *cluster) running(entry int, jobs ...structs.Job) {
+	c.t.Helper()
+	for _, job := range jobs {
+		c.eventually("run of "+job.ID, func() bool { return c.inState(entry, job, structs.TaskRunning) == job.Count })
+	}
+}
+
+func (c *cluster) inState(entry int, job structs.Job, state structs.TaskState) int {
+	got, err := c.Entries[entry].Entry.GetJob(c.ctx, job.ID)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, task := range got.Tasks {
+		if task.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// check judges the records of all stand-ins.
+func (c *cluster) check() audit.Report {
+	c.t.Helper()
+	in := audit.Input{NotRun: c.notRun}
+	for _, w := range c.Workers {
+		in.Workers = append(in.Workers, w.Records())
+	}
+	for _, u := range c.Upstreams {
+		in.Upstreams = append(in.Upstreams, u.Records())
+	}
+	report := audit.Check(in)
+	require.Empty(c.t, report.Violations)
+	return report
+}
+
+// untouched fails if an attempt of a job ended or started again.
+func (c *cluster) untouched(jobs ...structs.Job) {
+	c.t.Helper()
+	for _, job := range jobs {
+		require.Equal(c.t, job.Count, c.count(standinworker.EventStart, job.ID), "starts of %s:\n%s", job.ID, c.history(job))
+		for _, kind := range []standinworker.EventKind{standinworker.EventEnd, standinworker.EventLapse, standinworker.EventStop} {
+			require.Zero(c.t, c.count(kind, job.ID), "%s of %s:\n%s", kind, job.ID, c.history(job))
+		}
+	}
+}
+
+// offer sends requests of the deployment's mix until the length is over. The
+// result arrives when every caller has its answer.
+func (c *cluster) offer(rate float64, length time.Duration, entries ...int) <-chan load.Report {
+	var urls []string
+	for _, i := range entries {
+		urls = append(urls, c.Entries[i].URL)
+	}
+	out := make(chan load.Report, 1)
+	go func() {
+		plan := load.Plan{Seed: 7, RunID: "faults", Schedule: load.Schedule{BaseRate: rate, LengthMs: length.Milliseconds()}, Mix: c.Deployment.Mix}
+		report, err := load.Run(c.ctx, plan, load.Options{Entries: urls, Tries: 4})
+		if err != nil {
+			c.t.Error(err)
+		}
+		out <- report
+	}()
+	return out
+}
+
+// answered takes over the answers and fails if a caller has none of its own.
+func (c *cluster) answered(report load.Report) {
+	c.t.Helper()
+	c.notRun = append(c.notRun, report.NotRunIDs...)
+	require.NotZero(c.t, report.Total.Done)
+	require.Empty(c.t, report.WrongIDs)
+	require.Zero(c.t, report.Codes["none"], "requests without an answer: %+v", report.Codes)
+	require.Equal(c.t, report.Total.Offered, report.Total.Done+report.Total.NotRun+report.Total.Unknown)
+}
+
+func (c *cluster) storeFaults(f standinkv.Faults) {
+	c.t.Helper()
+	require.NoError(c.t, c.Store.SetFaults(f))
+}
+
+// owns returns the shards that an entry says it owns.
+func (c *cluster) owns(entry int) []uint32 { return c.Entries[entry].Entry.Status(c.ctx).OwnedShards }
+
+// byShards returns the entries by the number of shards they own, most first.
+func (c *cluster) byShards() (int, int, int) {
+	order := []int{0, 1, 2}
+	owned := []int{len(c.owns(0)), len(c.owns(1)), len(c.owns(2))}
+	slices.SortFunc(order, func(a, b int) int { return owned[b] - owned[a] })
+	return order[0], order[1], order[2]
+}
+
+// history lists the worker events of a job, for messages.
+func (c *cluster) history(job structs.Job) string {
+	var b strings.Builder
+	for _, e := range c.events() {
+		if e.Task.Job == job.ID && e.Kind != standinworker.EventCheckpoint {
+			at := time.Unix(0, e.AtUnixNs).Format("05.000")
+			fmt.Fprintf(&b, "%s %s %s task %d %+v from %q %s\n", at, e.Worker, e.Kind, e.Task.Index, e.Token, e.ResumedFrom, e.Reason)
+		}
+	}
+	return b.String()
+}
