Explore attestation for a lost owner

Cause: entries now attest also while the owner of a shard is out of reach, which the exploration did not cover.

--- a/coord/explore/explore_test.go
+++ b/coord/explore/explore_test.go
@@ -48,6 +48,7 @@
 		{"no wait after take-over", "coarse", func(_ *Options, f *lease.Faults) { f.NoWait = true }},
 		{"permit from the receive time", "delay", func(_ *Options, f *lease.Faults) { f.FromReceive = true }},
 		{"attestation ignored by the new owner", "outage", func(_ *Options, f *lease.Faults) { f.IgnoreAttestation = true }},
+		{"attestation for a lost owner ignored", "lost owner", func(_ *Options, f *lease.Faults) { f.IgnoreAttestation = true }},
 		{"only the current epoch asked", "outage", func(_ *Options, f *lease.Faults) { f.CurrentEpochOnly = true }},
 		{"hold limit without drift", "drift", func(_ *Options, f *lease.Faults) { f.HoldWithoutDrift = true }},
 		{"own renewals ignored", "outage", func(_ *Options, f *lease.Faults) { f.ForgetOwnAcks = true }},
--- a/coord/explore/protocol.go
+++ b/coord/explore/protocol.go
@@ -128,6 +128,7 @@
 func (w *World) answer(j, i int, seq uint64, held bool) {
 	w.release(i)
 	h := w.agents[j].holder
+	w.entries[i].verifier.OwnerLost(w.suspected)
 	ack := w.entries[i].verifier.Ack(w.now, vm(j), seq, h.Epoch())
 	if held {
 		w.net = append(slices.Clip(w.net), message{kind: ackMessage, from: i, to: j, ack: ack})
--- a/coord/explore/recover.go
+++ b/coord/explore/recover.go
@@ -13,7 +13,7 @@
 
 // Recover ends all faults and runs on until the task runs in one place.
 func (w *World) Recover() error {
-	w.kv.up, w.cut, w.net, w.faults = true, 0, nil, 0
+	w.kv.up, w.cut, w.net, w.faults, w.suspected = true, 0, nil, 0, false
 	for _, e := range w.entries {
 		e.paused = false
 	}
--- a/coord/explore/scenarios.go
+++ b/coord/explore/scenarios.go
@@ -27,6 +27,7 @@
 		{"coarse", coarse, 5},
 		{"delay", delayed(restrict(all, 1, advance, advanceOnly, deliver, resolve, place, heal, resend)), 8},
 		{"outage", restrict(all, 2, advance, partition, takeOver, trim, resolve, place), 8},
+		{"lost owner", restrict(all, 3, advance, partition, suspectOwner, trustOwner, takeOver, resolve, place), 7},
 		{"start", startHeld(restrict(all, 1, advance, pauseAgent, resumeAgent, resolve, place, deliver)), 8},
 		{"crash", restrict(all, 3, advance, advanceLong, crashAgent, resend, resolve, place, takeOver), 5},
 		{"worker", restrict(all, 2, advance, workerHeld, deliver, takeOver, resolve, place, resumeAgent), 8},
--- a/coord/explore/steps.go
+++ b/coord/explore/steps.go
@@ -38,6 +38,8 @@
 	workerHeld   action = "pause agent within a call to the worker"
 	duplicate    action = "deliver and keep"
 	drop         action = "drop"
+	suspectOwner action = "entries take an owner for lost and attest"
+	trustOwner   action = "entries stop attesting for a lost owner"
 )
 
 // Step is one transition.
@@ -74,6 +76,9 @@
 	if !w.kv.up {
 		out = append(out, Step{storeUp, 0, 0})
 	}
+	if w.suspected {
+		out = append(out, Step{trustOwner, 0, 0})
+	}
 	for j, a := range w.agents {
 		if a.paused {
 			out = append(out, Step{resumeAgent, 0, j})
@@ -157,6 +162,9 @@
 	if w.kv.up {
 		out = append(out, Step{storeDown, 0, 0})
 	}
+	if !w.suspected {
+		out = append(out, Step{suspectOwner, 0, 0})
+	}
 	if w.cut == 0 {
 		out = append(out, Step{partition, 1, 0}, Step{partition, 2, 0}, Step{partition, 3, 0}, Step{partition, 4, 0})
 	}
@@ -233,7 +241,7 @@
 	}
 	switch s.action {
 	case storeDown, partition, pauseEntry, pauseAgent, crashEntry, crashAgent, beatHeld, readHeld,
-		takeOverLost, placeLost, placeHeld, workerHeld, duplicate, drop:
+		takeOverLost, placeLost, placeHeld, workerHeld, duplicate, drop, suspectOwner:
 		w.faults++
 	}
 }
@@ -290,6 +298,10 @@
 		w.cut = 0
 	case partition:
 		w.cut = s.i
+	case suspectOwner:
+		w.suspected = true
+	case trustOwner:
+		w.suspected = false
 	case storeUp, storeDown:
 		w.kv.up = s.action == storeUp
 	case pauseEntry, resumeEntry:
--- a/coord/explore/world.go
+++ b/coord/explore/world.go
@@ -115,16 +115,18 @@
 
 // World is one state of all processes, the store and the messages in flight.
 type World struct {
-	o       Options
-	now     time.Duration
-	faults  int
-	kv      store
-	cut     int // partition in force, 0: none
-	entries []*entry
-	agents  [agents]*agent
-	net     []message
-	started map[uint64]int // worker starts per attempt
-	err     error
+	o      Options
+	now    time.Duration
+	faults int
+	kv     store
+	cut    int // partition in force, 0: none
+	// suspected: every entry takes an owner for lost, rightly or not.
+	suspected bool
+	entries   []*entry
+	agents    [agents]*agent
+	net       []message
+	started   map[uint64]int // worker starts per attempt
+	err       error
 }
 
 func vm(j int) string { return fmt.Sprintf("vm-%d", j) }
@@ -237,7 +239,7 @@
 // Fingerprint appends the state relative to the clock.
 func (w *World) Fingerprint(b []byte) []byte {
 	c := w.o.Lease
-	b = append(b, byte(w.faults), byte(w.cut), bit(w.kv.up), byte(len(w.kv.members.Lists)))
+	b = append(b, byte(w.faults), byte(w.cut), bit(w.suspected), bit(w.kv.up), byte(len(w.kv.members.Lists)))
 	o := w.kv.table.Shards[shard0]
 	b = append(b, o.Owner...)
 	b = append(b, byte(o.Generation), byte(w.kv.page.version))
