Put both runs of a class together in the report

Cause: in a comparison the quantiles of run 2 stood below all of run 1, and the wide first line of the latency plot looked like an emphasis. Change: rows are ordered by class, then run; only plots over time have a wide first line.

--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -78,15 +78,22 @@
 	return out
 }
 
-// quantiles tabulates the latencies of all classes.
+// quantiles tabulates the latencies of all classes, both runs of a class
+// together.
 func quantiles(results []Result) Table {
 	t := Table{Title: "Latency in ms", Columns: []string{"class", "count", "p50", "p99", "p99.9"}}
+	classes, groups := indexer{}, [][][]string{}
 	for run, r := range results {
 		for _, h := range r.Histograms {
-			t.Rows = append(t.Rows, []string{label(h.Class, run, len(results)), fmt.Sprint(h.Total()),
+			at := classes.of(h.Class)
+			if at == len(groups) {
+				groups = append(groups, nil)
+			}
+			groups[at] = append(groups[at], []string{label(h.Class, run, len(results)), fmt.Sprint(h.Total()),
 				number(h.Quantile(0.5)), number(h.Quantile(0.99)), number(h.Quantile(0.999))})
 		}
 	}
+	t.Rows = slices.Concat(groups...)
 	return t
 }
 
--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -31,21 +31,13 @@
 	Width                     float64
 }
 
-// Widths of lines in user units. The first line of a plot is wide, so that it
-// shows under a later one that covers it, as done requests cover the offered.
+// Widths of lines in user units. The first line of a plot over time is wide, so
+// that it shows under one that covers it, as done requests cover the offered.
 const (
 	firstWidth = 3.5
 	otherWidth = 1.5
 )
 
-func (p *plot) add(l line) {
-	l.Width = otherWidth
-	if len(p.Lines) == 0 {
-		l.Width = firstWidth
-	}
-	p.Lines = append(p.Lines, l)
-}
-
 type plot struct {
 	Title, XLabel, YLabel  string
 	XTicks, YTicks         []tick
@@ -187,7 +179,7 @@
 				continue
 			}
 			color, dash := style(colors.of(h.Class), run)
-			p.add(line{Name: label(h.Class, run, len(results)), Color: color, Dash: dash, Points: points(x, y, h.slower(low))})
+			p.Lines = append(p.Lines, line{label(h.Class, run, len(results)), color, dash, points(x, y, h.slower(low)), otherWidth})
 		}
 	}
 	return p, true
@@ -255,7 +247,11 @@
 		for _, s := range r.Series {
 			if s.Plot == name && len(s.Points) > 0 {
 				color, dash := style(colors.of(s.Name), run)
-				p.add(line{Name: label(s.Name, run, len(results)), Color: color, Dash: dash, Points: points(x, y, s.Points)})
+				width := otherWidth
+				if len(p.Lines) == 0 {
+					width = firstWidth
+				}
+				p.Lines = append(p.Lines, line{label(s.Name, run, len(results)), color, dash, points(x, y, s.Points), width})
 			}
 		}
 	}
