Set the flags of property tests in one place

Change: package fixedseed; seeds and numbers of checks stay as they were. Conclusion: behaviour unchanged.

--- a/internal/agent/enforce/enforce_test.go
+++ b/internal/agent/enforce/enforce_test.go
@@ -1,8 +1,8 @@
 package enforce_test
 
 import (
-	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -10,18 +10,12 @@
 	"pgregory.net/rapid"
 
 	"vanillalock.example/vanillalock/internal/agent/enforce"
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/rescode"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.steps": "100"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261204, "steps=100")) }
 
 // naive keeps every token it ever refused or ended, and sums sizes anew each time.
 type naive struct {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -1,9 +1,9 @@
 package jobs_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/jobs"
 	"vanillalock.example/vanillalock/internal/kv"
 	"vanillalock.example/vanillalock/internal/rescode"
@@ -18,14 +19,7 @@
 	"vanillalock.example/vanillalock/internal/worker"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "400", "rapid.steps": "60"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261204, "checks=400", "steps=60")) }
 
 func spec(id string, count int) structs.Job {
 	return structs.Job{ID: id, Template: "render", Customer: "c", Team: "t", Count: count, MaxAttempts: 2}
--- a/internal/jobs/shardlog/log_test.go
+++ b/internal/jobs/shardlog/log_test.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/jobs/shardlog"
 	"vanillalock.example/vanillalock/internal/kv"
 )
@@ -215,11 +216,4 @@
 	require.ErrorIs(t, stale.Flush(ctx), shardlog.ErrFenced)
 }
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261204)) }
--- a/internal/request/answers/answers_test.go
+++ b/internal/request/answers/answers_test.go
@@ -1,7 +1,6 @@
 package answers
 
 import (
-	"flag"
 	"os"
 	"slices"
 	"strconv"
@@ -12,16 +11,13 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/rescode"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
 // A fixed seed gives the same verdict in every run.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 1)) }
 
 var epoch = time.Unix(1_000_000, 0)
 
--- a/internal/request/classify/classify_test.go
+++ b/internal/request/classify/classify_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"math"
 	"os"
@@ -14,15 +13,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
 // A fixed seed gives the same verdict in every run.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 1)) }
 
 // exactQuantile is the naive version: it keeps all samples, newest last.
 func exactQuantile(samples []time.Duration, decay, q float64) (time.Duration, float64) {
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -10,15 +9,12 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/rescode"
 )
 
 // A fixed seed gives the same verdict in every run.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 1)) }
 
 // Guards against retry storms, second runs of non-idempotent requests, and a
 // "not run" for an attempt that may have run.
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -12,15 +11,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
 // A fixed seed gives the same verdict in every run.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 1)) }
 
 func newRouter(p Policy, upstreams int) *Router {
 	cfg := DefaultConfig("a", 3)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,30 +1,24 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"vanillalock.example/vanillalock/internal/fixedseed"
 	"vanillalock.example/vanillalock/internal/quota"
 	"vanillalock.example/vanillalock/internal/scheduler"
 	"vanillalock.example/vanillalock/internal/scheduler/plugins"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261204)) }
 
 // pairs is a fixed interference model: templates whose numbers differ little
 // disturb each other more.
