Test separate processes with a killed and a paused entry under load

Cause: that killing an entry loses no job and gives no false "not run" was not shown for real processes. Change: a test that builds the binary, runs 1 key-value stand-in, 3 entries and 4 VMs as processes, kills one entry with SIGKILL and pauses another with SIGSTOP for 14 s under load and jobs, and audits the stand-ins' records.

--- /dev/null
+++ b/internal/processes/processes_test.go
@@ -0,0 +1,223 @@
+// Package processes tests the binary as separate processes on loopback.
+package processes
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/api"
+	"vanillalock.example/vanillalock/internal/api/client"
+	"vanillalock.example/vanillalock/internal/demo"
+	"vanillalock.example/vanillalock/internal/load"
+	"vanillalock.example/vanillalock/internal/standin/audit"
+	"vanillalock.example/vanillalock/internal/standin/control"
+	standinupstream "vanillalock.example/vanillalock/internal/standin/upstream"
+	standinworker "vanillalock.example/vanillalock/internal/standin/worker"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+const (
+	entries = 3
+	vms     = 4
+)
+
+// fleet is a deployment of separate processes.
+type fleet struct {
+	t         *testing.T
+	dir       string
+	binary    string
+	store     string
+	entryURLs []string
+	sessions  []string
+	workers   []string
+	upstreams []string
+	entries   []*exec.Cmd
+	agents    []*exec.Cmd
+}
+
+func startFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir()}
+	f.binary = filepath.Join(f.dir, "vanillalock")
+	out, err := exec.Command("go", "build", "-o", f.binary, "vanillalock.example/vanillalock/cmd/vanillalock").CombinedOutput()
+	require.NoError(t, err, string(out))
+	f.store = f.address()
+	f.start("standin", "kv", "--listen", f.store)
+	for range entries {
+		f.sessions = append(f.sessions, f.address())
+		f.entryURLs = append(f.entryURLs, "http://"+f.address())
+	}
+	for i := range entries {
+		f.startEntry(i)
+	}
+	for i := range vms {
+		f.startVM(i)
+	}
+	return f
+}
+
+// address returns a loopback address that is free now.
+func (f *fleet) address() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start runs the binary; the process is killed with the test.
+func (f *fleet) start(args ...string) *exec.Cmd {
+	f.t.Helper()
+	cmd := exec.Command(f.binary, args...)
+	require.NoError(f.t, cmd.Start())
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+func (f *fleet) startEntry(i int) {
+	path := f.write(fmt.Sprintf("entry-%d.toml", i), fmt.Sprintf(`
+id = "entry-%d"
+region = "mien-nam"
+failure_domain = "nam-%c"
+[http]
+listen = %q
+[session]
+listen = %q
+[kv]
+address = "http://%s"
+`, i, 'a'+i, f.entryURLs[i][len("http://"):], f.sessions[i], f.store))
+	f.entries = append(f.entries, f.start("entry", "--config", path))
+}
+
+func (f *fleet) startVM(i int) {
+	worker, upstream := f.address(), f.address()
+	f.workers, f.upstreams = append(f.workers, "http://"+worker), append(f.upstreams, "http://"+upstream)
+	f.start("standin", "worker", "--vm", fmt.Sprintf("vm-%d", i), "--listen", worker, "--milli-cpu", "32000", "--memory-mb", "125000", "--accelerators", "2")
+	f.start("standin", "upstream", "--listen", upstream)
+	path := f.write(fmt.Sprintf("agent-%d.toml", i), fmt.Sprintf(`
+vm = "vm-%d"
+region = "mien-nam"
+failure_domain = "nam-%c"
+rack = "rack-%d"
+entries = [%q, %q, %q]
+[capacity]
+milli_cpu = 32000
+memory_mb = 125000
+accelerators = 2
+[worker]
+address = "http://%s"
+[upstream]
+address = "http://%s"
+`, i, 'a'+i%entries, i/2, f.sessions[0], f.sessions[1], f.sessions[2], worker, upstream))
+	f.agents = append(f.agents, f.start("agent", "--config", path))
+}
+
+func (f *fleet) write(name, content string) string {
+	path := filepath.Join(f.dir, name)
+	require.NoError(f.t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// configure applies the deployment and waits until every entry is in service.
+func (f *fleet) configure(ctx context.Context, d demo.Deployment) {
+	f.t.Helper()
+	first := f.client(0)
+	require.Eventually(f.t, func() bool {
+		for i := range entries {
+			status, err := f.client(i).Status(ctx)
+			if err != nil || len(status.Upstreams) < vms || len(status.Peers) < entries-1 || !status.Ready {
+				return false
+			}
+		}
+		return true
+	}, time.Minute, 100*time.Millisecond)
+	for _, t := range d.Templates {
+		require.NoError(f.t, first.SetObject(ctx, api.KindTemplate, t.Name, t, 0, &t))
+	}
+	for _, c := range d.Customers {
+		require.NoError(f.t, first.SetObject(ctx, api.KindCustomer, c.Name, c, 0, &c))
+	}
+	require.Eventually(f.t, func() bool {
+		list, err := f.client(entries - 1).ListCustomers(ctx)
+		return err == nil && len(list) == len(d.Customers)
+	}, time.Minute, 50*time.Millisecond)
+}
+
+func (f *fleet) client(i int) *client.Client {
+	c, err := client.New([]string{f.entryURLs[i]}, nil)
+	require.NoError(f.t, err)
+	return c
+}
+
+// audit checks the stand-ins' own records.
+func (f *fleet) audit(ctx context.Context, notRun []string) audit.Report {
+	f.t.Helper()
+	in := audit.Input{NotRun: notRun, Workers: make([]standinworker.Records, vms), Upstreams: make([]standinupstream.Records, vms)}
+	for i := range vms {
+		require.NoError(f.t, control.FetchRecords(ctx, http.DefaultClient, f.workers[i], &in.Workers[i]))
+		require.NoError(f.t, control.FetchRecords(ctx, http.DefaultClient, f.upstreams[i], &in.Upstreams[i]))
+	}
+	return audit.Check(in)
+}
+
+// waitFinal waits until every job is final, as the last entry sees it.
+func (f *fleet) waitFinal(ctx context.Context) {
+	f.t.Helper()
+	var open []structs.TaskID
+	require.Eventually(f.t, func() bool {
+		list, err := f.client(entries - 1).ListJobs(ctx)
+		if err != nil {
+			return false
+		}
+		open = nil
+		for _, j := range list {
+			for _, t := range j.Tasks {
+				if !t.State.Final() {
+					open = append(open, structs.TaskID{Job: j.ID, Index: t.Index})
+				}
+			}
+		}
+		return len(open) == 0
+	}, 3*time.Minute, 200*time.Millisecond, "not final: %v", &open)
+}
+
+// Guards against lost jobs, duplicate executions, overlapping runs and false
+// "not run" when one entry is killed under load and another one is stopped for
+// longer than a permit and then goes on.
+func TestEntryKilledAndEntryPausedUnderLoad(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Minute)
+	defer cancel()
+	d, err := demo.Find(demo.LienHoa)
+	require.NoError(t, err)
+	f := startFleet(t)
+	f.configure(ctx, d)
+
+	time.AfterFunc(5*time.Second, func() { _ = f.entries[0].Process.Kill() })
+	time.AfterFunc(8*time.Second, func() { _ = f.entries[1].Process.Signal(syscall.SIGSTOP) })
+	time.AfterFunc(22*time.Second, func() { _ = f.entries[1].Process.Signal(syscall.SIGCONT) })
+	report, err := load.Run(ctx, load.Plan{
+		Seed: 7, RunID: "kill", Schedule: load.Schedule{BaseRate: 60, LengthMs: 30_000}, Mix: d.Mix, Jobs: d.Jobs,
+	}, load.Options{Entries: f.entryURLs, JobWait: 2 * time.Minute})
+	require.NoError(t, err)
+	f.waitFinal(ctx)
+
+	checked := f.audit(ctx, report.NotRunIDs)
+	t.Logf("requests: %d done, %d not run, %d unknown, %d unreached; jobs: %+v; starts %d", report.Total.Done, report.Total.NotRun, report.Total.Unknown, report.Total.Unreached, report.Jobs, checked.Starts)
+	require.Empty(t, checked.Violations)
+	require.Empty(t, report.WrongIDs)
+	require.Zero(t, report.Jobs.Lost)
+	require.NotZero(t, report.Jobs.Accepted)
+	require.NotZero(t, report.Total.Done)
+}
