Add the capacity page with figures from measured slopes

Nothing stated whether the future scale fits its budgets.

The page names what does not fit and what has to carry it.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -12,9 +12,11 @@
 	scaleBatch        = 11_000
 	scaleEditsPerDay  = 260
 	scaleJobsPerDay   = 7200
-	scaleLostPerDay   = 12
-	scaleNewPerDay    = 43
-	secondsPerDay     = 86_400
+	// heartbeatsPerSecond is the rate on one session.
+	heartbeatsPerSecond = 0.5
+	scaleLostPerDay     = 12
+	scaleNewPerDay      = 43
+	secondsPerDay       = 86_400
 )
 
 // Budgets of section 1.3 and 1.5 of the design page.
@@ -67,8 +69,9 @@
 
 // model evaluates formulas over the measured series.
 type model struct {
-	result Result
-	err    error // first missing series
+	result  Result
+	entries float64 // of each region
+	err     error   // first missing series
 }
 
 func (m *model) series(name string) Series {
@@ -88,11 +91,11 @@
 
 // agentBytes is the traffic of one agent with the entries of its region.
 func (m *model) agentBytes() float64 {
-	return m.at("agent.idle_bytes", scaleEntries) + perNodeTasks*m.slope("agent.task_bytes")
+	return m.at("agent.idle_bytes", m.entries) + perNodeTasks*m.slope("agent.task_bytes")
 }
 
 func (m *model) agentSegments() float64 {
-	return m.at("agent.idle_segments", scaleEntries) + perNodeTasks*m.slope("agent.task_segments")
+	return m.at("agent.idle_segments", m.entries) + perNodeTasks*m.slope("agent.task_segments")
 }
 
 // perRecord is the memory of one retained record or answer without its body,
@@ -101,17 +104,22 @@
 
 // entryMemory is the live memory of an entry with agents and its share of tasks.
 func (m *model) entryMemory(agents, tasks float64) float64 {
-	return agents*m.slope("memory.agent") + tasks/scaleEntries*(m.slope("memory.shard_task")+m.slope("memory.sched_task")) +
+	return agents*m.slope("memory.agent") + tasks/m.entries*(m.slope("memory.shard_task")+m.slope("memory.sched_task")) +
 		maxAnswers*m.perRecord("memory.answer")
 }
 
 // entryCore is the processor time of an entry at the peak of starts of its region.
 func (m *model) entryCore(agents, tasks, starts float64) float64 {
-	return agents*m.slope("cpu.session") + tasks/scaleEntries*m.slope("cpu.task") + starts/scaleEntries*m.slope("cpu.start")
+	return agents*m.slope("cpu.session") + tasks/m.entries*m.slope("cpu.task") + starts/m.entries*m.slope("cpu.start")
 }
 
 func (m *model) entryBytes(agents, tasks float64) float64 {
-	return agents*m.slope("agent.idle_bytes") + tasks/scaleEntries*m.slope("agent.task_bytes")
+	return agents*m.slope("agent.idle_bytes") + tasks/m.entries*m.slope("agent.task_bytes")
+}
+
+// agentWireBytes adds the TCP and IP headers to agentBytes.
+func (m *model) agentWireBytes() float64 {
+	return m.agentBytes() + segmentHeaderBytes*m.agentSegments()
 }
 
 // logWrites is the log writes of both regions at the peak, the starts split evenly.
@@ -142,7 +150,7 @@
 			"one session to each entry of the region, one heartbeat per 2 s", "yamux pings from both ends each second"},
 		{"control traffic with tasks", "idle(6) + 23.2 × per task", []string{"agent.idle_bytes", "agent.task_bytes"}, m.agentBytes(), "B/s", budgetNodeBytes,
 			"usage goes only to the owner of the task's shard", "usage of every task in every heartbeat"},
-		{"the same with TCP and IP headers", "above + 52 × segments", []string{"agent.idle_segments", "agent.task_segments"}, m.agentBytes() + segmentHeaderBytes*m.agentSegments(), "B/s", budgetNodeBytes,
+		{"the same with TCP and IP headers", "above + 52 × segments", []string{"agent.idle_segments", "agent.task_segments"}, m.agentWireBytes(), "B/s", budgetNodeBytes,
 			"none today", "small segments: pings and their acknowledgements"},
 		{"edits", "6/3 × per edit × 260/day", []string{"agent.edit_bytes"}, float64(scaleEntries) / 3 * m.slope("agent.edit_bytes") * scaleEditsPerDay / secondsPerDay, "B/s", budgetNodeBytes,
 			"each entry pushes the object, the agent answers with a heartbeat", "edits of large objects: every entry sends the whole object"},
@@ -176,6 +184,7 @@
 			"none today", "heartbeats of every agent"},
 		{"one placement decision", "at 650 VMs, 15,100 tasks", []string{"placement.cpu"}, m.at("placement.cpu", futureWorkers), "s", 0,
 			"scores cached per shape and VM", "shapes beyond the 256 cached"},
+		{"allocations of one placement decision", "at 650 VMs", []string{"placement.allocs"}, m.at("placement.allocs", futureWorkers), "objects", 0, "", ""},
 		{"placement at the peak", "48 × decision", []string{"placement.cpu"}, scaleStarts * m.at("placement.cpu", futureWorkers), "core", budgetNodeCore,
 			"200 decisions per tick of 50 ms at most", "shapes beyond the 256 cached"},
 	}}
@@ -187,6 +196,8 @@
 		{"its data frames", "slope", []string{"agent.idle_data_frames"}, m.slope("agent.idle_data_frames"), "frames/s", 0, "heartbeat and acknowledgement", ""},
 		{"its pings", "slope", []string{"agent.idle_pings"}, m.slope("agent.idle_pings"), "frames/s", 0, "a ping and a reply from each end, each second", "half is enough: one end may ping"},
 		{"its TCP segments", "slope", []string{"agent.idle_segments"}, m.slope("agent.idle_segments"), "segments/s", 0, "", "yamux writes header and body apart"},
+		{"heartbeat with its acknowledgement, processor of both ends", "slope / 0.5 per s", []string{"cpu.session"}, m.slope("cpu.session") / heartbeatsPerSecond, "s", 0, "pings included", ""},
+		{"heartbeat with its acknowledgement, allocations of both ends", "slope / 0.5 per s", []string{"allocs.session"}, m.slope("allocs.session") / heartbeatsPerSecond, "objects", 0, "pings included", ""},
 		{"its memory, both ends", "slope", []string{"memory.agent"}, m.slope("memory.agent"), "B", 0, "buffers and goroutines of both ends", ""},
 		{"request stream, idempotent", "slope", []string{"request.bytes_idempotent"}, m.slope("request.bytes_idempotent"), "B", 0, "one stream per request", ""},
 		{"request, processor of all hops", "slope", []string{"request.cpu_idempotent"}, m.slope("request.cpu_idempotent"), "s", 0, "", ""},
@@ -230,12 +241,36 @@
 	}}
 }
 
+// evaluated is the content of the capacity page.
+type evaluated struct {
+	groups []group
+	items  [][3]string
+	counts []entryCount
+}
+
+// entryCount is the cost of a number of entries in each region.
+type entryCount struct {
+	entries                                                  int
+	agentBytes, agentWireBytes, entryBytes, heap, core, load float64
+}
+
 // evaluate computes the figures and the items of the page from a result.
-func evaluate(r Result) ([]group, [][3]string, error) {
-	m := &model{result: r}
-	groups, items := m.groups(), m.items()
+func evaluate(r Result) (evaluated, error) {
+	m := &model{result: r, entries: scaleEntries}
+	out := evaluated{groups: m.groups(), items: m.items()}
+	for n := 3; n <= 8; n++ {
+		out.counts = append(out.counts, (&model{result: r, entries: float64(n)}).count(n))
+	}
 	if m.err != nil {
-		return nil, nil, fmt.Errorf("capacity: %w", m.err)
+		return out, fmt.Errorf("capacity: %w", m.err)
+	}
+	return out, nil
+}
+
+func (m *model) count(n int) entryCount {
+	tasks, starts := float64(futureTasks)/scaleRegions, float64(scaleStarts)/scaleRegions
+	return entryCount{
+		n, m.agentBytes(), m.agentWireBytes(), m.entryBytes(half, tasks),
+		collectorFactor * m.entryMemory(half, tasks), m.entryCore(half, tasks, starts), tasks / m.entries,
 	}
-	return groups, items, nil
 }
--- a/internal/bench/fit.go
+++ b/internal/bench/fit.go
@@ -1,6 +1,9 @@
 package bench
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // series collects the samples of one quantity.
 type series struct{ Series }
@@ -17,12 +20,10 @@
 		byRepeat[p.Repeat] = append(byRepeat[p.Repeat], p)
 	}
 	var medians []Sample
-	s.Sizes = nil
-	for x, ys := range byX {
-		s.Sizes = append(s.Sizes, x)
-		medians = append(medians, Sample{X: x, Y: median(ys)})
+	s.Sizes = slices.Sorted(maps.Keys(byX))
+	for _, x := range s.Sizes {
+		medians = append(medians, Sample{X: x, Y: median(byX[x])})
 	}
-	slices.Sort(s.Sizes)
 	s.Slope, s.Intercept = leastSquares(medians)
 	first := true
 	for _, points := range byRepeat {
--- a/internal/bench/items.go
+++ b/internal/bench/items.go
@@ -47,7 +47,8 @@
 			"Leaving agents checkpoint and evict; new ones announce themselves."},
 		{"loss of a rack (3 VMs) or a switch", fmt.Sprintf("%.0f tasks restart; at one start per task %.1f s of the peak rate", vmsPerRack*perNodeTasks, vmsPerRack*perNodeTasks/scaleStarts),
 			"Most urgent first, at most 10% of the free capacity per second. A switch that carries several racks multiplies the figure; its size is not given."},
-		{"loss of a failure domain", fmt.Sprintf("%.0f VMs and %.0f tasks restart, %.0f s at the peak rate; the region's VMs have to hold the tasks of both domains", domainVMs, domainVMs*perNodeTasks, domainVMs*perNodeTasks/scaleStarts),
-			"As above. First to give way: free capacity; then log bytes. The remaining 3 entries carry the region's 16 shards, each twice its share."},
+		{"loss of a failure domain", fmt.Sprintf("%.0f VMs and %.0f tasks restart, %.0f of them urgent: %.0f s at the peak rate of starts, after %.1f s (design)",
+			domainVMs, domainVMs*perNodeTasks, domainVMs*perNodeTasks*scaleUrgent/futureTasks, domainVMs*perNodeTasks*scaleUrgent/futureTasks/scaleStarts, permitEndSeconds),
+			"Most urgent first, at most 10% of the free capacity per second: not all urgent tasks restart within 9 s. First to give way: free capacity, since the region's other VMs have to hold the tasks of both domains; then log bytes. The remaining 3 entries carry the region's 16 shards, each twice its share."},
 	}
 }
--- a/internal/bench/page.go
+++ b/internal/bench/page.go
@@ -19,27 +19,28 @@
 
 // Tables returns the generated part of the capacity page.
 func Tables(r Result) (string, error) {
-	groups, items, err := evaluate(r)
+	page, err := evaluate(r)
 	if err != nil {
 		return "", err
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "Measured with `%s`, %s, %s, %d processors, %d repeats at each size.\n", r.Command, r.GoVersion, r.Platform, r.CPUs, r.Repeats)
-	for _, g := range groups {
-		writeGroup(&b, g)
+	fmt.Fprintf(&b, "Measured with %s, %s, %d processors, %d repeats at each size.\n", r.GoVersion, r.Platform, r.CPUs, r.Repeats)
+	for _, g := range page.groups {
+		writeGroup(&b, r, g)
 	}
 	b.WriteString("\n### The items of the future scale\n\n| item | in figures | mechanism, and what gives way first |\n| --- | --- | --- |\n")
-	for _, item := range items {
+	for _, item := range page.items {
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", item[0], item[1], item[2])
 	}
-	writeOver(&b, groups)
+	writeCounts(&b, page.counts)
+	writeOver(&b, page.groups)
 	writeSeries(&b, r)
 	return b.String(), nil
 }
 
-func writeGroup(b *strings.Builder, g group) {
+func writeGroup(b *strings.Builder, r Result, g group) {
 	fmt.Fprintf(b, "\n### %s\n\n", g.title)
-	b.WriteString("| figure | formula | series | at the future scale | budget | used | carried by | gives way first |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("| figure | formula | slope (spread) | at the future scale | budget | used | carried by | gives way first |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, row := range g.rows {
 		budget, used := "–", "–"
 		if row.budget > 0 {
@@ -48,16 +49,32 @@
 				used = "**" + used + "**"
 			}
 		}
-		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", row.quantity, row.formula, seriesNames(row.names),
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", row.quantity, row.formula, slopes(r, row.names),
 			show(row.value, row.unit), budget, used, row.carrier, row.limit)
 	}
 }
 
-func seriesNames(names []string) string {
-	if len(names) == 0 {
-		return "–"
+// slopes lists the series of a figure with slope, spread and case.
+func slopes(r Result, names []string) string {
+	var out []string
+	for _, name := range names {
+		if s, err := r.Find(name); err == nil {
+			out = append(out, fmt.Sprintf("`%s` %.3g (%.3g to %.3g)", name, s.Slope, s.SlopeMin, s.SlopeMax))
+		}
+	}
+	if len(out) == 0 {
+		return "as above"
+	}
+	return strings.Join(out, "; ")
+}
+
+// writeCounts compares numbers of entries.
+func writeCounts(b *strings.Builder, counts []entryCount) {
+	b.WriteString("\n### Entries in each region\n\n| entries | traffic of an agent | with headers | traffic of an entry | heap of an entry | processor of an entry | tasks of an entry |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range counts {
+		fmt.Fprintf(b, "| %d | %s | %s | %s | %s | %s | %.0f |\n", c.entries, show(c.agentBytes, "B/s"), show(c.agentWireBytes, "B/s"),
+			show(c.entryBytes, "B/s"), show(c.heap, "B"), show(c.core, "core"), c.load)
 	}
-	return "`" + strings.Join(names, "`, `") + "`"
 }
 
 // writeOver lists the figures over their budgets.
@@ -78,11 +95,12 @@
 }
 
 func writeSeries(b *strings.Builder, r Result) {
-	b.WriteString("\n### Measured slopes\n\nThe command of a series is `go run internal/bench/generate.go -case` with its case. The spread is the lowest and highest slope of the lines through one repeat each.\n\n")
-	b.WriteString("| series | case | unit | per | sizes | slope | spread | at 0 |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("\n### Measured slopes\n\nThe spread is the lowest and highest slope of the lines through one repeat each.\n\n")
+	b.WriteString("| series | unit | per | sizes | slope | spread | at 0 | case | command |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, s := range r.Series {
 		sizes := strings.Trim(fmt.Sprint(s.Sizes), "[]")
-		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %s | %.4g | %.4g to %.4g | %.4g |\n", s.Name, s.Case, s.Unit, s.X, sizes, s.Slope, s.SlopeMin, s.SlopeMax, s.Intercept)
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s | %.4g | %.4g to %.4g | %.4g | %s | `%s` |\n",
+			s.Name, s.Unit, s.X, sizes, s.Slope, s.SlopeMin, s.SlopeMax, s.Intercept, s.Case, s.Command)
 	}
 }
 
@@ -94,6 +112,8 @@
 		return fmt.Sprintf("%.3g M%s", v/1e6, unit)
 	case prefixed[unit] && math.Abs(v) >= 1e3:
 		return fmt.Sprintf("%.3g K%s", v/1e3, unit)
+	case math.Abs(v) >= 100 && math.Abs(v) < 1e6:
+		return fmt.Sprintf("%.0f %s", v, unit)
 	case unit == "core":
 		return fmt.Sprintf("%.3g%% of a core", 100*v)
 	case unit == "s" && math.Abs(v) < 1e-3:
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
@@ -32,6 +33,7 @@
 	options Options
 	log     io.Writer
 	result  Result
+	command string
 	current map[string]*series
 	order   []string
 	caseOf  string
@@ -69,7 +71,7 @@
 	if err := withDefaults(&o); err != nil {
 		return err
 	}
-	b := &bench{options: o, log: stderr, result: newResult(o)}
+	b := &bench{options: o, log: stderr, result: newResult(o), command: commandOf(o)}
 	for _, c := range cases {
 		if len(o.Case) > 0 && !slices.Contains(o.Case, c.name) {
 			continue
@@ -83,7 +85,7 @@
 		fmt.Fprintf(stderr, "case %s: %.0f s\n", c.name, time.Since(started).Seconds())
 	}
 	if o.JSON != "" {
-		if err := b.result.Save(o.JSON); err != nil {
+		if err := b.save(); err != nil {
 			return err
 		}
 	}
@@ -108,15 +110,42 @@
 	return nil
 }
 
-func newResult(o Options) Result {
+// commandOf returns the command that repeats a run.
+func commandOf(o Options) string {
 	command := fmt.Sprintf("go run internal/bench/generate.go -duration %v -seed %d", o.Duration, o.Seed)
 	if len(o.Case) > 0 {
 		command += " -case " + strings.Join(o.Case, ",")
 	}
+	return command
+}
+
+func newResult(o Options) Result {
 	return Result{
-		Schema: Schema, Command: command, GoVersion: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH,
-		CPUs: runtime.NumCPU(), Seed: o.Seed, DurationS: o.Duration.Seconds(), Repeats: repeats,
+		Schema: Schema, GoVersion: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH,
+		CPUs: runtime.NumCPU(), Seed: o.Seed, Repeats: repeats,
+	}
+}
+
+// save writes the result. Series of cases that were not chosen are kept from an
+// earlier result in the file.
+func (b *bench) save() error {
+	out := b.result
+	if _, err := os.Stat(b.options.JSON); err == nil && len(b.options.Case) > 0 {
+		old, err := Load(b.options.JSON)
+		if err != nil {
+			return err
+		}
+		out.Series = nil
+		for _, s := range old.Series {
+			if !slices.Contains(b.options.Case, s.Case) {
+				kept := series{s}
+				kept.fit()
+				out.Series = append(out.Series, kept.Series)
+			}
+		}
+		out.Series = append(out.Series, b.result.Series...)
 	}
+	return out.Save(b.options.JSON)
 }
 
 // window is the length of one measurement.
@@ -135,6 +164,7 @@
 func (b *bench) finish() {
 	for _, name := range b.order {
 		s := b.current[name]
+		s.Command = b.command
 		s.fit()
 		b.result.Series = append(b.result.Series, s.Series)
 	}
--- a/internal/bench/schema.go
+++ b/internal/bench/schema.go
@@ -16,15 +16,13 @@
 // Schema names the JSON form of a Result.
 const Schema = "vanillalock/bench/1"
 
-// Result is the outcome of a run, written as one JSON object.
+// Result is the outcome of one or more runs, written as one JSON object.
 type Result struct {
 	Schema    string   `json:"schema"`
-	Command   string   `json:"command"` // repeats the run
 	GoVersion string   `json:"go_version"`
 	Platform  string   `json:"platform"` // GOOS/GOARCH
 	CPUs      int      `json:"cpus"`
 	Seed      uint64   `json:"seed"`
-	DurationS float64  `json:"duration_s"` // measured time at one size, all repeats together
 	Repeats   int      `json:"repeats"`
 	Series    []Series `json:"series"`
 }
@@ -33,8 +31,9 @@
 type Series struct {
 	Name    string    `json:"name"`
 	Case    string    `json:"case"`
-	Unit    string    `json:"unit"` // of Y
-	X       string    `json:"x"`    // what X counts
+	Unit    string    `json:"unit"`    // of Y
+	X       string    `json:"x"`       // what X counts
+	Command string    `json:"command"` // of the run that measured it
 	Sizes   []float64 `json:"sizes"`
 	Samples []Sample  `json:"samples"`
 	// Slope and Intercept are the least-squares line through the medians of the
