--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"vanillalock.example/vanillalock/coord/lease"
+	"vanillalock.example/vanillalock/internal/request/dedup"
 	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/upstream"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -24,8 +24,8 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to an entry.
-	heartbeatInterval = 2 * time.Second
+	// defaultHeartbeat is the time between two heartbeats to an entry.
+	defaultHeartbeat = 2 * time.Second
 	// renewInterval is the time between two renewals of the worker's leases. They
 	// last up to 3 s, and permits are renewed only every 2 s while all is well.
 	renewInterval = time.Second
@@ -46,11 +46,15 @@
 	Entries  []string     // session addresses of entries known from settings
 	Worker   worker.Client
 	Upstream upstream.Client
-	TLS      *tls.Config // nil: plain TCP
+	TLS      wire.ClientTLS // nil: plain TCP
 	Log      *log.Logger
 	Tracer   trace.Tracer
 	Drain    time.Duration // 0: 30 s
-	Lease    lease.Config  // zero: lease.Default(); the same in every process of a region
+
+	Lease     lease.Config  // zero: lease.Default(); equal in all processes of a region
+	Records   dedup.Config  // zero: dedup.DefaultConfig()
+	Heartbeat time.Duration // 0: 2 s
+	Silence   time.Duration // of a session before it is closed; 0: 2 s
 }
 
 // Agent is one agent incarnation.
@@ -80,6 +84,12 @@
 	if opts.Lease == (lease.Config{}) {
 		opts.Lease = lease.Default()
 	}
+	if opts.Records == (dedup.Config{}) {
+		opts.Records = dedup.DefaultConfig()
+	}
+	if opts.Heartbeat == 0 {
+		opts.Heartbeat = defaultHeartbeat
+	}
 	return &Agent{
 		opts:    opts,
 		events:  make(chan func(*control), eventBacklog),
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,9 +24,10 @@
 	waiters  map[dedup.Waiter]chan<- reply
 	waiterID dedup.Waiter
 
-	sessions map[string]*entrySession // by dialled address
-	config   *propagation.Replica
-	tasks    *taskTable
+	sessions  map[string]*entrySession // by dialled address
+	usageSent time.Time
+	config    *propagation.Replica
+	tasks     *taskTable
 
 	leaving      bool
 	leavingSince time.Time
@@ -49,7 +50,7 @@
 		ctx:   ctx,
 		// Every request names the incarnation it is meant for, which excludes
 		// earlier incarnations without comparing clocks.
-		record:   dedup.New(dedup.DefaultConfig(), time.Unix(0, 0)),
+		record:   dedup.New(a.opts.Records, time.Unix(0, 0)),
 		slots:    slots.New(slotConfig),
 		classes:  classify.New(classify.DefaultConfig()),
 		runs:     map[string]*requestRun{},
@@ -65,7 +66,7 @@
 func (c *control) loop(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	heartbeat := time.NewTicker(heartbeatInterval)
+	heartbeat := time.NewTicker(c.agent.opts.Heartbeat)
 	defer heartbeat.Stop()
 	poll := time.NewTicker(taskPollInterval)
 	defer poll.Stop()
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -44,6 +44,9 @@
 	kong.Plugins
 }
 
+// Help implements kong.HelpProvider.
+func (*standins) Help() string { return "Example: vanillalock standin kv --listen 127.0.0.1:9000" }
+
 // newStandins returns the stand-ins that have a runner.
 func newStandins(r Runners) *standins {
 	s := &standins{}
@@ -121,7 +124,9 @@
 }
 
 // Help implements kong.HelpProvider.
-func (*demoCmd) Help() string { return "Example: vanillalock demo --duration 30s" }
+func (*demoCmd) Help() string {
+	return "Example: vanillalock demo --deployment pasji-urnik --duration 20s"
+}
 
 // Run runs the demonstration.
 func (c *demoCmd) Run(s *state) error { return c.run(s.ctx, c.DemoOptions, s.streams) }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -61,11 +61,11 @@
 	rng := rand.New(rand.NewPCG(seed, seed>>7))
 	c := &control{
 		entry:        e,
-		answers:      answers.New(answers.DefaultConfig()),
+		answers:      answers.New(e.opts.Answers),
 		waiters:      map[answers.Waiter]chan<- structs.Answer{},
 		runs:         map[string]*run{},
 		fingerprints: map[string]string{},
-		admission:    admission.New(admission.DefaultConfig(e.opts.Slots, e.opts.Entries)),
+		admission:    admission.New(admissionConfig(e.opts)),
 		classes:      classify.New(classify.DefaultConfig()),
 		router:       route.New(route.DefaultConfig(e.opts.FailureDomain, e.opts.Entries), rng),
 		retry:        retry.New(retry.DefaultConfig(), rng),
@@ -84,6 +84,14 @@
 	return c
 }
 
+func admissionConfig(opts Options) admission.Config {
+	cfg := admission.DefaultConfig(opts.Slots, opts.Entries)
+	if opts.Queue > 0 {
+		cfg.MaxUrgent, cfg.MaxBatch = opts.Queue, opts.Queue
+	}
+	return cfg
+}
+
 // now is the entry's monotonic clock.
 func (e *Entry) now() time.Duration { return time.Since(e.started) }
 
@@ -151,15 +159,15 @@
 }
 
 // attemptReturned learns from the answer of an attempt.
-func (c *control) attemptReturned(r *run, t target, code rescode.Code, load *pb.Load) {
-	ran := code.Outcome() == rescode.Done
+func (c *control) attemptReturned(r *run, result attemptResult, load *pb.Load) {
+	code, t := result.answer.Code, result.target
 	learned := time.Duration(0)
 	if code == rescode.OK {
-		learned = r.ranFor
-		c.classes.Observe(r.request.Template, r.request.Customer, r.ranFor)
+		learned = result.ran
+		c.classes.Observe(r.request.Template, r.request.Customer, result.ran)
 	}
 	c.router.Returned(t.handle, r.estimate.Class, learned, r.learned())
-	if ran || code == rescode.NoUpstream || code == rescode.AnswerLost {
+	if code.Outcome() == rescode.Done || code == rescode.NoUpstream || code == rescode.AnswerLost {
 		c.observe(t.agent, code != rescode.OK)
 	}
 	if a := c.agents[t.agent]; a != nil && a.node.Incarnation == t.incarnation {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -53,6 +53,8 @@
 
 	submitters map[string][]chan<- error
 	restarts   map[restartKey]*restart
+	ended      map[restartKey]ended
+	epochs     map[string]reportedEpoch // by VM, kept after its removal
 	leaving    bool
 }
 
@@ -67,6 +69,8 @@
 		ledger:     quota.New(),
 		submitters: map[string][]chan<- error{},
 		restarts:   map[restartKey]*restart{},
+		ended:      map[restartKey]ended{},
+		epochs:     map[string]reportedEpoch{},
 	}
 	j.policy, j.sched = newPolicy(j)
 	return j
@@ -115,7 +119,9 @@
 	switch d.Kind {
 	case scheduler.Placed:
 		a := j.c.agents[d.Node.ID]
-		if a == nil || a.session == nil || j.handover.Draining(s.id) {
+		// Without a member list the end of the attempt could only be proven by
+		// the hold limit.
+		if a == nil || a.session == nil || j.handover.Draining(s.id) || j.c.verifier.Epoch() == 0 {
 			return errNotOwner
 		}
 		ev.Kind, ev.Worker, ev.Incarnation, ev.Epoch = jobs.Place, d.Node.ID, a.node.Incarnation, j.c.verifier.Epoch()
@@ -177,9 +183,12 @@
 			j.sendStop(s, a, true)
 		case jobs.Stop:
 			j.sendStop(s, a, false)
-		case jobs.Freed, jobs.Finished:
+		case jobs.Freed:
 			j.sched.Release(a.Task)
 			j.policy.released(a.Task)
+		case jobs.Finished:
+			j.sched.Release(a.Task)
+			j.policy.finished(a.Task)
 		case jobs.Ack:
 			if agent := j.c.agents[a.Worker]; agent != nil {
 				j.c.post(agent, &pb.Frame{Body: &pb.Frame_TaskEventAck{TaskEventAck: &pb.TaskEventAck{Seq: a.Ref}}})
@@ -207,7 +216,7 @@
 
 func (j *jobControl) taskOf(job structs.Job, t structs.Task, now time.Time) scheduler.Task {
 	return scheduler.Task{
-		Shape: scheduler.Shape{Template: job.Template, QoS: job.QoS, Size: job.Resources},
+		Shape: scheduler.Shape{Template: job.Template, QoS: job.QoS, Size: j.policy.size(job)},
 		ID:    structs.TaskID{Job: job.ID, Index: t.Index}, Attempt: t.Attempt, Team: job.Team,
 		Expected: time.Duration(job.ExpectedMillis) * time.Millisecond, LongRunning: job.LongRunning,
 		Recovered: t.Attempt > 0 && t.Evictions == 0, Enqueued: now,
@@ -221,10 +230,14 @@
 		return
 	}
 	t := job.Tasks[a.Task.Index]
+	size := job.Resources
+	if placed := j.sched.Placed(a.Task); placed != nil {
+		size = placed.Size
+	}
 	j.c.post(agent, &pb.Frame{Body: &pb.Frame_TaskStart{TaskStart: &pb.TaskStart{
 		Job: job.ID, Index: uint32(t.Index), Attempt: a.Token.Attempt, Shard: s.id, Generation: a.Token.Generation,
 		Template: job.Template, TemplateVersion: job.TemplateVersion, Parameters: job.Parameters, Qos: string(job.QoS),
-		Resources:  &pb.Resources{MilliCpu: job.Resources.MilliCPU, MemoryMb: job.Resources.MemoryMB, Accelerators: job.Resources.Accelerators},
+		Resources:  &pb.Resources{MilliCpu: size.MilliCPU, MemoryMb: size.MemoryMB, Accelerators: size.Accelerators},
 		Checkpoint: a.Checkpoint, DurationMs: durationOf(job), Epoch: t.Epoch, Incarnation: t.Incarnation,
 	}}})
 }
@@ -258,3 +271,32 @@
 		j.ledger.SetTeam(customer.Team, customer.Quota, 1)
 	}
 }
+
+// teamUse returns what each team uses through this entry.
+func (j *jobControl) teamUse() map[string]structs.Resources {
+	use := map[string]structs.Resources{}
+	for _, customer := range j.c.customers {
+		if used := j.ledger.Used(customer.Team); customer.Team != "" && used != (structs.Resources{}) {
+			use[customer.Team] = used
+		}
+	}
+	return use
+}
+
+// onPeers takes over what the teams use through the other entries.
+func (j *jobControl) onPeers(peers map[string]peerRecord) {
+	remote := map[string]structs.Resources{}
+	for id, peer := range peers {
+		if id == j.c.entry.incarnation {
+			continue
+		}
+		for team, used := range peer.TeamUse {
+			remote[team] = remote[team].Add(used)
+		}
+	}
+	for _, customer := range j.c.customers {
+		if customer.Team != "" {
+			j.ledger.SetRemote(customer.Team, remote[customer.Team])
+		}
+	}
+}
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -32,7 +32,7 @@
 // holdSession returns when the entry is out of reach. Only an answer shows that
 // it is in reach: a paused process still accepts connections.
 func (e *Entry) holdSession(peer peerRecord) {
-	session, err := wire.Dial(e.ctx, peer.Session, e.opts.TLS, &e.stats)
+	session, err := wire.Dial(e.ctx, peer.Session, e.wireConfig())
 	if err != nil {
 		return
 	}
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -12,6 +13,7 @@
 	"vanillalock.example/vanillalock/coord/lease"
 	"vanillalock.example/vanillalock/coord/shard"
 	"vanillalock.example/vanillalock/internal/kv"
+	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -20,8 +22,12 @@
 	entryLease = 10 * time.Second
 	// storeInterval is the time between two reads of the region's keys. A read
 	// verifies the ownership that permits rest on.
-	storeInterval     = time.Second
-	keepAliveInterval = 3 * time.Second
+	storeInterval = time.Second
+	// keepAlivesPerLease lets two of three renewals fail.
+	keepAlivesPerLease = 3
+	// useInterval is the time between two writes of the use of the teams. A team
+	// can exceed its quota by what starts at other entries within it.
+	useInterval = 5 * time.Second
 )
 
 // peerRecord is the value of an entry's own key.
@@ -31,6 +37,8 @@
 	Session       string `json:"session"`
 	API           string `json:"api"`
 	FailureDomain string `json:"failure_domain"`
+	// TeamUse is what the teams use through this entry, for the quotas.
+	TeamUse map[string]structs.Resources `json:"team_use,omitempty"`
 }
 
 // region is what one read of the region's keys returned.
@@ -50,7 +58,7 @@
 	defer s.unregister()
 	for ctx.Err() == nil {
 		s.round(ctx)
-		if !e.sleep(storeInterval) {
+		if !e.sleep(e.opts.StoreTimes.Poll) {
 			return
 		}
 	}
@@ -63,17 +71,22 @@
 	lease     kv.LeaseID
 	keptAlive time.Time
 	seq       uint64 // of this writer's values
+
+	version uint64 // of the entry's own key
+	use     map[string]structs.Resources
+	useAt   time.Time
 }
 
 // round registers the entry, reads the region and writes what the control
 // state plans.
 func (s *storeClient) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 3*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 3*s.entry.opts.StoreTimes.Call)
 	defer cancel()
 	if err := s.register(ctx); err != nil {
 		s.entry.opts.Log.Debug("Not registered.", "err", err)
 		return
 	}
+	s.publishUse(ctx)
 	r, err := s.read(ctx)
 	if err != nil {
 		s.entry.opts.Log.Debug("Region not read.", "err", err)
@@ -94,10 +107,10 @@
 // register grants the entry's lease and writes its key; it keeps the lease alive.
 func (s *storeClient) register(ctx context.Context) error {
 	e := s.entry
-	if s.lease != 0 && time.Since(s.keptAlive) < keepAliveInterval {
+	if s.lease != 0 && time.Since(s.keptAlive) < e.opts.StoreTimes.Lease/keepAlivesPerLease {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.Call)
 	defer cancel()
 	if s.lease != 0 {
 		err := e.opts.Store.KeepAlive(callCtx, s.lease)
@@ -110,26 +123,60 @@
 		}
 		s.lease = 0
 	}
-	id, err := e.opts.Store.GrantLease(callCtx, entryLease)
+	id, err := e.opts.Store.GrantLease(callCtx, e.opts.StoreTimes.Lease)
 	if err != nil {
 		return err
 	}
+	s.lease, s.keptAlive, s.version = id, time.Now(), 0
+	if old, err := e.opts.Store.Get(callCtx, s.key()); err == nil {
+		s.version = old.Version
+	}
+	return s.writeSelf(callCtx)
+}
+
+func (s *storeClient) key() string { return s.prefix + "entries/" + s.entry.incarnation }
+
+// writeSelf writes the entry's own key. A lost answer is repaired by the next
+// registration, which reads the version.
+func (s *storeClient) writeSelf(ctx context.Context) error {
+	e := s.entry
 	value, err := json.Marshal(peerRecord{
-		Incarnation: e.incarnation, ID: e.opts.ID, Session: e.opts.Advertise, API: e.opts.API, FailureDomain: e.opts.FailureDomain,
+		Incarnation: e.incarnation, ID: e.opts.ID, Session: e.opts.Advertise, API: e.opts.API,
+		FailureDomain: e.opts.FailureDomain, TeamUse: s.use,
 	})
 	if err != nil {
 		return err
 	}
-	key := s.prefix + "entries/" + e.incarnation
-	version := uint64(0)
-	if old, err := e.opts.Store.Get(callCtx, key); err == nil {
-		version = old.Version
+	entry, err := e.opts.Store.CompareAndSwap(ctx, s.key(), s.version, value, s.lease)
+	if err == nil {
+		s.version = entry.Version
+		return nil
 	}
-	if _, err := e.opts.Store.CompareAndSwap(callCtx, key, version, value, id); err != nil && !errors.Is(err, kv.ErrUncertain) {
-		return err
+	if errors.Is(err, kv.ErrUncertain) || errors.Is(err, kv.ErrConflict) {
+		if read, readErr := e.opts.Store.Get(ctx, s.key()); readErr == nil {
+			s.version = read.Version
+			return nil
+		}
+	}
+	s.lease = 0
+	return err
+}
+
+// publishUse writes what the teams use through this entry when it has changed.
+func (s *storeClient) publishUse(ctx context.Context) {
+	if time.Since(s.useAt) < useInterval {
+		return
+	}
+	use, ok := ask(ctx, s.entry, func(c *control) map[string]structs.Resources { return c.jobs.teamUse() })
+	if !ok || maps.Equal(use, s.use) {
+		return
+	}
+	s.use, s.useAt = use, time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, s.entry.opts.StoreTimes.Call)
+	defer cancel()
+	if err := s.writeSelf(callCtx); err != nil {
+		s.entry.opts.Log.Debug("Use of the teams not written.", "err", err)
 	}
-	s.lease, s.keptAlive = id, time.Now()
-	return nil
 }
 
 // unregister ends the lease on a planned stop, so that nobody waits for it.
@@ -137,7 +184,7 @@
 	if s.lease == 0 || !s.entry.isDrained() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.entry.opts.StoreTimes.Call)
 	defer cancel()
 	if err := s.entry.opts.Store.Revoke(ctx, s.lease); err != nil {
 		s.entry.opts.Log.Debug("Lease not revoked.", "err", err)
@@ -147,7 +194,7 @@
 // read lists the region's keys with one call.
 func (s *storeClient) read(ctx context.Context) (region, error) {
 	e := s.entry
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.Call)
 	defer cancel()
 	r := region{started: e.now(), peers: map[string]peerRecord{}, table: shard.NewTable(e.opts.Shards)}
 	entries, _, err := e.opts.Store.List(callCtx, s.prefix)
@@ -242,6 +289,7 @@
 func (c *control) onRegion(r region) storePlan {
 	c.peers = r.peers
 	c.members.Observers(c.otherEntries())
+	c.jobs.onPeers(r.peers)
 	c.onTable(r)
 	c.probePeers()
 	live := r.live()
--- a/internal/scheduler/life_test.go
+++ b/internal/scheduler/life_test.go
@@ -118,6 +118,28 @@
 	require.Equal(t, "urgent", drain(s, epoch)[0].Task.ID.Job, "urgent before batch")
 }
 
+// TestHoldEndsWithItsVM guards against a task that waits for ever for a VM that
+// takes no tasks any more.
+func TestHoldEndsWithItsVM(t *testing.T) {
+	for _, end := range []func(s *scheduler.Scheduler){
+		func(s *scheduler.Scheduler) { s.SetFlags(vm(1).ID, scheduler.Flags{Leaving: true}) },
+		func(s *scheduler.Scheduler) { s.RemoveNode(vm(1).ID) },
+	} {
+		s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+		s.SetNode(vm(1))
+		s.Add(batch("filler", cpu(16), time.Hour), epoch)
+		require.Len(t, drain(s, epoch), 1)
+		urgent := batch("urgent", cpu(2), time.Minute)
+		urgent.QoS = structs.LatencyCritical
+		s.Add(urgent, epoch)
+		require.Len(t, s.Tick(epoch.Add(time.Second)), 1)
+		end(s)
+		require.Empty(t, s.Tick(epoch.Add(2*time.Second)))
+		s.SetNode(vm(2))
+		require.Equal(t, "vm2", drain(s, epoch.Add(3*time.Second))[0].Node.ID)
+	}
+}
+
 // TestRecoveryIsBounded guards against a stampede of restarts after the loss of a
 // failure domain: most urgent first, at most 10% of the free capacity per second.
 func TestRecoveryIsBounded(t *testing.T) {
@@ -186,3 +208,24 @@
 	}
 	require.Equal(t, 3, inside, "at most a third")
 }
+
+// TestHoldBehindUnendingTasks guards against a task that waits for ever for room
+// that tasks without an end occupy.
+func TestHoldBehindUnendingTasks(t *testing.T) {
+	s := scheduler.New(scheduler.Config{}, defaults(), quota.New())
+	s.SetNode(vm(1))
+	feed := batch("feed", cpu(4), 0)
+	feed.LongRunning = true
+	s.Add(feed, epoch)
+	require.Len(t, drain(s, epoch), 1)
+	s.Add(batch("whole", cpu(16), time.Minute), epoch)
+	require.Empty(t, drain(s, epoch))
+	require.Empty(t, s.Tick(epoch.Add(time.Minute)), "a hold, but no request yet")
+	ds := s.Tick(epoch.Add(2 * time.Minute))
+	require.Len(t, ds, 1)
+	require.Equal(t, scheduler.MakeRoom, ds[0].Kind)
+	require.Equal(t, int64(4000), ds[0].Short.MilliCPU)
+	s.Release(structs.TaskID{Job: "feed"})
+	s.Add(feed, epoch.Add(2*time.Minute))
+	require.Equal(t, "whole", drain(s, epoch.Add(2*time.Minute))[0].Task.ID.Job, "the room goes to the task that waited")
+}
