Let an agent return after a partition without a restart

Cause: an entry refuses the session of a removed agent with the incarnation that it removed. An agent that was cut off and lives on keeps its incarnation, so that it never came back. Change: an announcement on a new connection readmits it. Before: TestPartitionOfAgentAndOwner, the VM stays suspect for 100 s.

--- a/coord/membership/detector.go
+++ b/coord/membership/detector.go
@@ -176,6 +176,15 @@
 	return p.set(id, state), true
 }
 
+// Readmit lets a removed peer return with the same incarnation. The observer
+// calls it when the peer announces itself on a new connection: it was cut off
+// and has not restarted. Messages on earlier connections stay ignored until then.
+func (d *Detector) Readmit(id string, incarnation uint64) {
+	if p := d.peers[id]; p != nil && p.state == Removed && p.incarnation == incarnation {
+		p.state = Suspected
+	}
+}
+
 // Answer records what another observer heard of a peer. An answer within the
 // suspicion time refutes the suspicion.
 func (d *Detector) Answer(now Instant, c Contact) []Action {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -117,6 +117,7 @@
 // attach takes over a session of an agent. A lower incarnation than the known
 // one is refused: it is a delayed session of an earlier process.
 func (c *control) attach(node structs.Node, session *wire.Session, outbox chan *pb.Frame, announce *pb.Announce) bool {
+	c.members.Readmit(node.ID, node.Incarnation)
 	actions, ok := c.members.Heartbeat(c.entry.now(), node.ID, node.Incarnation, false)
 	if !ok {
 		return false
