Save running tasks at the interval of their template

Cause: nothing asked for checkpoints, so that checkpoint_ms had no effect and a task of a lost VM started from the beginning. Change: the agent asks the worker for a checkpoint at the interval of the template in force and reports it to the owner. Before: TestVMDies and TestAgentCutOff wait for a checkpoint forever. After: both resume once, from the last checkpoint.

--- a/internal/agent/taskcalls.go
+++ b/internal/agent/taskcalls.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"vanillalock.example/vanillalock/coord/lease"
+	"vanillalock.example/vanillalock/coord/propagation"
 	"vanillalock.example/vanillalock/internal/rescode"
 	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/wire/pb"
@@ -68,9 +70,41 @@
 	return &attempt{key: keyOf(ref), ref: ref, spec: s.Spec, progressMs: s.ProgressMs, checkpoint: s.Checkpoint, reason: s.Reason}
 }
 
+// templateKind is the kind of templates among the configuration objects.
+const templateKind = "template"
+
+// checkpointDue saves the running attempts whose template asks for it, so that
+// the loss of the VM costs at most one interval of work.
+func (t *taskTable) checkpointDue(now time.Time) {
+	for _, a := range t.attempts {
+		if a.state != StateRunning || a.stopping || !a.endedAt.IsZero() {
+			continue
+		}
+		last := a.savedAt
+		if last.IsZero() {
+			last = a.runningAt
+		}
+		if every := t.control.checkpointInterval(a.spec.Template); every > 0 && now.Sub(last) >= every {
+			a.savedAt = now
+			t.save(a)
+		}
+	}
+}
+
+// checkpointInterval is the interval that the template in force sets, 0 for none.
+func (c *control) checkpointInterval(template string) time.Duration {
+	o, ok := c.config.Get(propagation.Key{Kind: templateKind, Name: template})
+	var t structs.Template
+	if !ok || o.Deleted || json.Unmarshal(o.Data, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.CheckpointMillis) * time.Millisecond
+}
+
 // poll reads the worker's task list, at most one call at a time.
 func (t *taskTable) poll() {
 	t.forgetEnded()
+	t.checkpointDue(time.Now())
 	client := t.control.agent.opts.Worker
 	if t.polling || !t.adopted || client == nil || t.active() == 0 {
 		return
@@ -163,6 +197,11 @@
 	if a == nil || a.state != StateRunning || a.stopping {
 		return
 	}
+	t.save(a)
+}
+
+// save asks the worker for a checkpoint and reports it.
+func (t *taskTable) save(a *attempt) {
 	client := t.control.agent.opts.Worker
 	t.goCall(func(ctx context.Context) {
 		status, err := client.Checkpoint(ctx, a.spec.Task, a.spec.Token)
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -54,6 +54,7 @@
 	progressMs int64
 	checkpoint string
 	runningAt  time.Time // the worker confirmed the start
+	savedAt    time.Time // last periodic checkpoint asked for
 	endedAt    time.Time
 }
 
