Deliver known answers at the end of a graceful shutdown

Cause, found by reading: an agent was idle as soon as a run had ended, before its answer was sent; an entry that ended chose at random between an answer and its own end; the demonstration closed the server of an entry with answers unsent. A request handed to the control goroutine was reported as not run when the entry ended before the reply, although it may run. Change: the agent waits for its open answers, an answer that is there wins, the server is shut down gracefully, and the outcome of such a request is unknown.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -64,6 +65,8 @@
 	stats   wire.Stats
 	started time.Time
 	metrics *Metrics
+	// answering counts the streams whose answer is not sent yet.
+	answering atomic.Int64
 
 	leaveOnce sync.Once
 	leaving   chan struct{}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -107,7 +107,7 @@
 // idle reports whether a leaving agent may stop: nothing in flight, every task
 // stopped and reported, and the grace for requests on their way over.
 func (c *control) idle() bool {
-	return len(c.runs) == 0 && c.tasks.idle() && time.Since(c.leavingSince) > leaveGrace
+	return len(c.runs) == 0 && c.agent.answering.Load() == 0 && c.tasks.idle() && time.Since(c.leavingSince) > leaveGrace
 }
 
 func (c *control) closeSessions() {
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -36,6 +36,8 @@
 	if err != nil {
 		return
 	}
+	a.answering.Add(1)
+	defer a.answering.Add(-1)
 	answers := make(chan reply, 1)
 	switch body := frame.Body.(type) {
 	case *pb.Frame_Request:
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -226,6 +226,10 @@
 		if err := e.Run(ctx); err != nil {
 			s.options.Log.Error("Entry failed.", "err", err)
 		}
+		// Answers that are known are still sent after a graceful shutdown.
+		closeCtx, cancelClose := context.WithTimeout(ctx, drain)
+		defer cancelClose()
+		_ = r.server.Shutdown(closeCtx)
 	})
 	return r, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -200,8 +200,12 @@
 	case v := <-result:
 		return v, true
 	case <-ctx.Done():
-		return zero, false
 	case <-e.ctx.Done():
+	}
+	select {
+	case v := <-result:
+		return v, true
+	default:
 		return zero, false
 	}
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -74,7 +74,8 @@
 	})
 	switch {
 	case !ok:
-		return structs.Answer{RequestID: in.ID, Outcome: rescode.NotRun, Code: rescode.Leaving}, nil
+		// The control goroutine may still accept the request.
+		return structs.Answer{RequestID: in.ID, Outcome: rescode.Unknown, Code: rescode.AnswerLost}, nil
 	case result.err != nil:
 		return structs.Answer{}, result.err
 	case !result.waiting:
@@ -88,6 +89,11 @@
 		e.do(e.ctx, func(c *control) { c.leaveWaiter(requestID, id) })
 		return structs.Answer{RequestID: requestID, Outcome: rescode.Unknown, Code: rescode.StillRunning}, nil
 	case <-e.ctx.Done():
+	}
+	select {
+	case answer := <-waiter:
+		return answer, nil
+	default:
 		return structs.Answer{RequestID: requestID, Outcome: rescode.Unknown, Code: rescode.AnswerLost}, nil
 	}
 }
