Answer within the caller's time and only claim proven refusals

Cause: an entry waited 5 s for a new session with an agent, also for a request with a deadline of 2 s whose caller had left. A claim whose content could not be read, or that another entry had moved, was answered as not run although the other entry may run the request. Change: the wait ends 1 s after the deadline; both cases are answered as unknown. The two cases of claims were found by reading.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -25,6 +25,9 @@
 	// resolveWait bounds how long a request whose session was lost waits for a
 	// new session with the agent.
 	resolveWait = 5 * time.Second
+	// resolveGrace is how long past its deadline a request still waits for a new
+	// session. Its caller waits 2 s beyond the deadline.
+	resolveGrace = time.Second
 	// resolveTimeout bounds one question for the agent's record.
 	resolveTimeout = 2 * time.Second
 	claimTimeout   = 2 * time.Second
@@ -93,8 +96,10 @@
 	claim, created, err := e.createClaim(ctx, r, t)
 	if err != nil {
 		e.release(r, t)
-		// An uncertain claim was not followed by a dispatch of this entry: the
-		// request has not run and cannot run through this call.
+		if rescode.Of(err) == rescode.StoreUncertain {
+			// The key may be claimed by another entry that runs the request.
+			return structs.Answer{RequestID: r.request.ID, Code: rescode.StoreUncertain}
+		}
 		return notRun(r.request.ID, rescode.StoreUnavailable)
 	}
 	for {
@@ -123,6 +128,10 @@
 		moved, err := e.moveClaim(ctx, r, claim, next)
 		if err != nil {
 			e.release(r, next)
+			if rescode.Of(err) == rescode.VersionConflict {
+				// Another entry moved the claim and may run the request.
+				return structs.Answer{RequestID: r.request.ID, Code: rescode.StillRunning}
+			}
 			return answer
 		}
 		claim, t, created = moved, next, true
@@ -267,7 +276,8 @@
 // agent the outcome stays unknown.
 func (e *Entry) resolve(ctx context.Context, agent string, incarnation uint64, id string, issuedUs int64, deadline time.Time) structs.Answer {
 	lost := structs.Answer{RequestID: id, Code: rescode.AgentLost, Upstream: agent}
-	giveUp := time.Now().Add(resolveWait)
+	limit := min(resolveWait, max(time.Until(deadline), 0)+resolveGrace)
+	giveUp := time.Now().Add(limit)
 	for time.Now().Before(giveUp) {
 		session, current, ok := e.agentSession(agent)
 		if ok && current != incarnation {
