Run the capacity measurements through the bench command

Cause: the measurements could be started only from a file outside the binary. Conclusion: one binary starts every tool.

--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -137,7 +137,7 @@
 }
 
 // Help implements kong.HelpProvider.
-func (*benchCmd) Help() string { return "Example: vanillalock bench --json results.json" }
+func (*benchCmd) Help() string { return "Example: vanillalock bench --json docs/capacity.json" }
 
 // Run runs the measurement.
 func (c *benchCmd) Run(s *state) error { return c.run(s.ctx, c.BenchOptions, s.streams) }
--- a/internal/command/runners.go
+++ b/internal/command/runners.go
@@ -101,9 +101,10 @@
 // BenchOptions are the options of "bench".
 type BenchOptions struct {
 	Case     []string      `sep:"," help:"Names of the cases; all if empty." placeholder:"NAME"`
-	Duration time.Duration `default:"10s" help:"Length of one case."`
-	Seed     uint64        `default:"1" help:"Seed of the load."`
+	Duration time.Duration `default:"12s" help:"Measured time at one size."`
+	Seed     uint64        `default:"1" help:"Seed of the order of requests and sizes."`
 	JSON     string        `help:"File for the results as JSON." placeholder:"FILE"`
+	Page     string        `help:"Write the tables of this page from the JSON file and measure nothing." placeholder:"FILE"`
 }
 
 // ReportOptions are the options of "report".
--- a/internal/roles/tools.go
+++ b/internal/roles/tools.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"vanillalock.example/vanillalock/internal/api/client"
+	"vanillalock.example/vanillalock/internal/bench"
 	"vanillalock.example/vanillalock/internal/command"
 	"vanillalock.example/vanillalock/internal/demo"
 	"vanillalock.example/vanillalock/internal/load"
@@ -27,10 +28,20 @@
 	return command.Runners{
 		Entry: RunEntry, Agent: RunAgent,
 		StandinKV: runStandinKV, StandinWorker: runStandinWorker, StandinUpstream: runStandinUpstream,
-		Load: runLoad, Demo: runDemo, Report: runReport,
+		Load: runLoad, Demo: runDemo, Bench: runBench, Report: runReport,
 	}
 }
 
+func runBench(ctx context.Context, o command.BenchOptions, streams command.Streams) error {
+	if o.Page != "" {
+		if o.JSON == "" {
+			return command.UsageError(errors.New("--page needs --json"))
+		}
+		return bench.UpdatePage(o.Page, o.JSON)
+	}
+	return bench.Run(ctx, bench.Options{Case: o.Case, Duration: o.Duration, Seed: o.Seed, JSON: o.JSON}, streams.Out, streams.Err)
+}
+
 func runReport(_ context.Context, o command.ReportOptions, streams command.Streams) error {
 	return report.Files(o.Result, o.HTML, streams.Out)
 }
