--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -26,6 +26,7 @@
 	budgetNodeMemory  = 64e6
 	budgetStoreWrites = 300 // "several hundred" a second
 	budgetLogWrites   = 100 // target of section 6 of the design page
+	budgetLifeWrites  = 2   // target of section 6 for one task
 	budgetStoreReads  = 2000
 	budgetEdit        = 13.0 // s
 	budgetUrgent      = 9.0  // s
@@ -86,6 +87,27 @@
 
 func (m *model) at(name string, x float64) float64 { return m.series(name).At(x) }
 
+// measured returns the median of the samples at a size. It replaces the line
+// where group commit bends the curve.
+func (m *model) measured(name string, x float64) float64 {
+	var ys []float64
+	for _, p := range m.series(name).Samples {
+		if p.X == x {
+			ys = append(ys, p.Y)
+		}
+	}
+	return median(ys)
+}
+
+// highest returns the highest sample of a series.
+func (m *model) highest(name string) float64 {
+	out := 0.0
+	for _, p := range m.series(name).Samples {
+		out = max(out, p.Y)
+	}
+	return out
+}
+
 // perNodeTasks is the mean number of running tasks of a VM.
 const perNodeTasks = float64(futureTasks) / futureWorkers
 
@@ -124,7 +146,7 @@
 
 // logWrites is the log writes of both regions at the peak, the starts split evenly.
 func (m *model) logWrites() float64 {
-	return scaleRegions * m.at("kv.start_writes", float64(scaleStarts)/scaleRegions)
+	return scaleRegions * m.measured("kv.start_writes", float64(scaleStarts)/scaleRegions)
 }
 
 // storeCalls is the reads, watch calls and lease calls of all entries and the
@@ -217,12 +239,13 @@
 			"one read of the region per second and entry; agents make none", "entries: a call grows with entries, not with the fleet"},
 		{"calls per added agent", "slope", []string{"kv.calls_agents"}, m.slope("kv.calls_agents"), "calls/s", 0, "agents never access the service", ""},
 		{"bytes read by the entries of a region", "at 6 entries", []string{"kv.idle_read_bytes"}, m.at("kv.idle_read_bytes", scaleEntries), "B/s", 0, "one list of the region's keys", "grows with the square of the entries"},
-		{"log writes at the peak, against the design's target", "2 × writes(24 starts/s)", []string{"kv.start_writes"}, m.logWrites(), "writes/s", budgetLogWrites,
+		{"log writes at the peak, against the design's target", "2 × median at 24 starts/s", []string{"kv.start_writes"}, m.logWrites(), "writes/s", budgetLogWrites,
 			"group commit, 250 ms, 16 shards in each region: 128 writes/s at most", "starts per second: at most 64 writes/s in each region, then batches grow"},
 		{"all writes at the peak", "log + edits", []string{"kv.start_writes", "kv.edit_writes"}, m.logWrites() + m.slope("kv.edit_writes")*scaleEditsPerDay/secondsPerDay, "writes/s", budgetStoreWrites, "", "non-idempotent requests"},
-		{"log writes per task life at the peak", "writes(48 starts/s) / 48", []string{"kv.start_writes"}, m.at("kv.start_writes", scaleStarts) / scaleStarts, "writes", 2, "group commit", "a low rate of starts: up to 3 writes a life"},
-		{"log bytes at the peak", "at 48 starts/s", []string{"kv.start_bytes"}, m.at("kv.start_bytes", scaleStarts), "B/s", 0, "a page of at most 32 KB is rewritten until it is full", "bytes written per life: the page's mean size"},
-		{"log bytes per task life at the peak", "above / 48", []string{"kv.start_bytes"}, m.at("kv.start_bytes", scaleStarts) / scaleStarts, "B", 0, "", ""},
+		{"log writes per task life at the peak", "median at 48 starts/s / 48", []string{"kv.start_writes"}, m.measured("kv.start_writes", scaleStarts) / scaleStarts, "writes", budgetLifeWrites, "group commit", "a low rate of starts: up to 3 writes a life"},
+		{"log writes per task life at a quarter of the peak", "median at 12 starts/s / 12", []string{"kv.start_writes"}, m.measured("kv.start_writes", scaleStarts/4) / (scaleStarts / 4), "writes", budgetLifeWrites, "group commit", "transitions of one task fall into separate commits"},
+		{"log bytes at the peak", "median at 48 starts/s", []string{"kv.start_bytes"}, m.measured("kv.start_bytes", scaleStarts), "B/s", 0, "a page of at most 32 KB is rewritten until it is full", "bytes written per life: the page's mean size"},
+		{"log bytes per task life at the peak", "above / 48", []string{"kv.start_bytes"}, m.measured("kv.start_bytes", scaleStarts) / scaleStarts, "B", 0, "", ""},
 		{"writes per non-idempotent request", "slope", []string{"request.kv_writes_claimed"}, m.slope("request.kv_writes_claimed"), "writes", 0, "one claim by CAS", ""},
 		{"non-idempotent requests that fit", "(300 − log writes) / per request", []string{"request.kv_writes_claimed"}, free / m.slope("request.kv_writes_claimed"), "requests/s", 0, "claims", "the rate of bookings and charges"},
 		{"lease calls", "12 × slope", []string{"kv.idle_leases"}, all * m.slope("kv.idle_leases"), "calls/s", 0, "keep-alive of each entry; claims share one lease", ""},
@@ -234,8 +257,8 @@
 func (m *model) timeGroup() group {
 	return group{"Times (idle VMs, store without delay)", []row{
 		{"edit shown by every entry", "at 6 entries", []string{"edit.in_force"}, m.at("edit.in_force", scaleEntries), "s", budgetEdit, "watch of each entry", "a missed watch: up to 60 s until the next full read"},
-		{"urgent start, median", "at 48 starts/s", []string{"start.median"}, m.at("start.median", scaleStarts), "s", budgetUrgent, "two group commits before the start", "a full region: room must be made"},
-		{"urgent start, slowest", "at 48 starts/s", []string{"start.slowest"}, m.at("start.slowest", scaleStarts), "s", budgetUrgent, "the same", "the same"},
+		{"urgent start, median", "median at 48 starts/s", []string{"start.median"}, m.measured("start.median", scaleStarts), "s", budgetUrgent, "two group commits before the start", "a full region: room must be made"},
+		{"urgent start, slowest of all", "highest sample", []string{"start.slowest"}, m.highest("start.slowest"), "s", budgetUrgent, "the same", "the cause of the slow ones is not known"},
 		{"opening 16 shards one after another", "at 15,100 tasks", []string{"open.seconds"}, m.at("open.seconds", futureTasks), "s", budgetUrgent, "snapshot and pages; an entry opens its shards concurrently", "bytes read from the store"},
 		{"bytes read for it", "at 15,100 tasks", []string{"open.bytes"}, m.at("open.bytes", futureTasks), "B", 0, "one list for each shard", ""},
 	}}
--- a/internal/bench/cases_work.go
+++ b/internal/bench/cases_work.go
@@ -68,15 +68,16 @@
 	for _, rate := range []int{0, 12, 24, 48} {
 		lives := int(float64(rate) * b.window().Seconds())
 		var mu sync.Mutex
-		submitted := map[string]time.Time{}
+		submitted, refused := map[string]time.Time{}, 0
 		x := float64(rate)
 		err := b.eachWindow(ctx, r, func(ctx context.Context, _ int) error {
 			clear(submitted)
+			refused = 0
 			return b.spread(ctx, lives, func(ctx context.Context, i int) error {
 				began := time.Now()
-				job, err := r.entries[i%entries].SubmitJob(ctx, api.JobInput{Template: urgentTask, Customer: customerName})
+				job, refusals, err := r.submit(ctx, i, api.JobInput{Template: urgentTask, Customer: customerName})
 				mu.Lock()
-				submitted[job.ID] = began
+				submitted[job.ID], refused = began, refused+refusals
 				mu.Unlock()
 				return err
 			})
@@ -85,6 +86,7 @@
 			b.add("kv.start_bytes", "log bytes/s", per, x, repeat, d.store.LogBytes/seconds)
 			b.add("start.frames", "data frames/s", per, x, repeat, d.data/seconds)
 			b.add("start.bytes", "session B/s", per, x, repeat, d.bytes/seconds)
+			b.add("start.refused", "submissions/s refused as not run and repeated", per, x, repeat, float64(refused)/seconds)
 			b.add("cpu.start", "core of all processes", per, x, repeat, d.cpu/seconds)
 			b.add("allocs.start", "objects/s of all processes", per, x, repeat, d.allocs/seconds)
 			if rate > 0 {
@@ -103,6 +105,20 @@
 	return nil
 }
 
+// submit repeats a submission that is refused as not run, for example because the
+// shard of the job is changing its owner. It returns the number of refusals.
+func (r *rig) submit(ctx context.Context, i int, input api.JobInput) (structs.Job, int, error) {
+	for refusals := 0; ; refusals++ {
+		job, err := r.entries[i%len(r.entries)].SubmitJob(ctx, input)
+		if err == nil || rescode.Of(err).Outcome() != rescode.NotRun {
+			return job, refusals, err
+		}
+		if err := pause(ctx, 50*time.Millisecond); err != nil {
+			return job, refusals, err
+		}
+	}
+}
+
 func delays(times *startTimes, submitted map[string]time.Time) (typical, slowest float64) {
 	var all []float64
 	for job, began := range submitted {
--- a/internal/bench/items.go
+++ b/internal/bench/items.go
@@ -20,7 +20,7 @@
 		{fmt.Sprintf("%d accelerators", scaleAccelerators), fmt.Sprintf("%.1f per VM, one number in announce and load: no message more", float64(scaleAccelerators)/futureWorkers),
 			"Filter and score by whole devices. First to give way: fragmentation, not control traffic."},
 		{fmt.Sprintf("%d starts/s at the peak", scaleStarts), fmt.Sprintf("%.0f log writes/s with the starts split evenly, %.0f if one region has all; %s of log; %s of processor of all hops",
-			m.logWrites(), m.at("kv.start_writes", scaleStarts), show(m.at("kv.start_bytes", scaleStarts), "B/s"), show(scaleStarts*m.slope("cpu.start"), "core")),
+			m.logWrites(), m.measured("kv.start_writes", scaleStarts), show(m.measured("kv.start_bytes", scaleStarts), "B/s"), show(scaleStarts*m.slope("cpu.start"), "core")),
 			"Group commit per shard. First to give way: log bytes; writes stay at 64/s for each region."},
 		{fmt.Sprintf("%d jobs a day", scaleJobsPerDay), fmt.Sprintf("%.2f jobs/s on the mean", float64(scaleJobsPerDay)/secondsPerDay), "One record in the shard log, in the same group commits."},
 		{fmt.Sprintf("%d urgent and %d batch tasks running", scaleUrgent, scaleBatch), fmt.Sprintf("%.1f tasks per VM, %s of its traffic; %.0f tasks per entry, %s of its memory; no store write while they run without checkpoints",
