--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -24,10 +24,11 @@
 	waiters  map[dedup.Waiter]chan<- reply
 	waiterID dedup.Waiter
 
-	sessions  map[string]*entrySession // by dialled address
-	usageSent time.Time
-	config    *propagation.Replica
-	tasks     *taskTable
+	sessions   map[string]*entrySession // by dialled address
+	usageSent  time.Time
+	usagePause time.Duration
+	config     *propagation.Replica
+	tasks      *taskTable
 
 	leaving      bool
 	leavingSince time.Time
@@ -107,7 +108,7 @@
 // idle reports whether a leaving agent may stop: nothing in flight, every task
 // stopped and reported, and the grace for requests on their way over.
 func (c *control) idle() bool {
-	return len(c.runs) == 0 && c.tasks.idle() && time.Since(c.leavingSince) > leaveGrace
+	return len(c.runs) == 0 && c.agent.answering.Load() == 0 && c.tasks.idle() && time.Since(c.leavingSince) > leaveGrace
 }
 
 func (c *control) closeSessions() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -200,12 +200,26 @@
 	case v := <-result:
 		return v, true
 	case <-ctx.Done():
-		return zero, false
 	case <-e.ctx.Done():
+	}
+	select {
+	case v := <-result:
+		return v, true
+	default:
 		return zero, false
 	}
 }
 
+// isDrained reports whether a graceful shutdown has ended.
+func (e *Entry) isDrained() bool {
+	select {
+	case <-e.drained:
+		return true
+	default:
+		return false
+	}
+}
+
 // drainWhenLeaving stops accepting, waits for the work in flight and ends the
 // loop. The drain deadline bounds it.
 func (e *Entry) drainWhenLeaving(ctx context.Context) {
--- a/internal/entry/sessions.go
+++ b/internal/entry/sessions.go
@@ -117,6 +117,7 @@
 // attach takes over a session of an agent. A lower incarnation than the known
 // one is refused: it is a delayed session of an earlier process.
 func (c *control) attach(node structs.Node, session *wire.Session, outbox chan *pb.Frame, announce *pb.Announce) bool {
+	c.members.Readmit(node.ID, node.Incarnation)
 	actions, ok := c.members.Heartbeat(c.entry.now(), node.ID, node.Incarnation, false)
 	if !ok {
 		return false
@@ -183,6 +184,7 @@
 // acknowledge builds the answer to a heartbeat. It states the verified age and
 // any attestation, so it is sent once and never repeated.
 func (c *control) acknowledge(a *agentState, seq uint64) *pb.HeartbeatAck {
+	c.verifier.OwnerLost(c.ownerLost())
 	ack := c.verifier.Ack(c.entry.now(), a.node.ID, seq, a.epoch)
 	out := &pb.HeartbeatAck{
 		Seq: ack.Seq, Entry: ack.Entry, Verified: ack.Verified, VerifiedAgeUs: microsRoundedUp(ack.VerifiedAge),
