State unknown instead of not run for repeated calls

Change: callers mark repeated calls with the header Request-Attempt; an entry answers them unknown (3006) where it would answer not run. The load generator marks a call after a try without an answer, and tries another entry after the refusal of one that shuts down (2005). Conclusion: "not run" is stated only where the proof covers the request.

--- a/internal/api/input.go
+++ b/internal/api/input.go
@@ -139,6 +139,10 @@
 		return in, err
 	}
 	in.IdempotencyKey = header.Get(HeaderIdempotencyKey)
+	var err error
+	if in.Repeat, err = readAttempt(header); err != nil {
+		return in, err
+	}
 	if in.ID != "" {
 		if err := checkName("id", in.ID); err != nil {
 			return in, err
@@ -155,12 +159,29 @@
 		checkName("customer", in.Customer), checkParameters("parameters", in.Parameters))
 }
 
+// readAttempt reports whether the call repeats an earlier one.
+func readAttempt(header http.Header) (repeat bool, err error) {
+	text := header.Get(HeaderRequestAttempt)
+	if text == "" {
+		return false, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || n == 0 {
+		return false, rescode.FieldErrorf(rescode.OutOfRange, HeaderRequestAttempt, "must be a number from 1 to 65535")
+	}
+	return n > 1, nil
+}
+
 func readJob(body io.Reader, header http.Header, limits Limits) (JobInput, error) {
 	var in JobInput
 	if err := decode(body, limits.MaxBodyBytes, &in); err != nil {
 		return in, err
 	}
 	in.Key = header.Get(HeaderIdempotencyKey)
+	var err error
+	if in.Repeat, err = readAttempt(header); err != nil {
+		return in, err
+	}
 	if in.Resources != nil {
 		if err := checkResources("resources", *in.Resources); err != nil {
 			return in, err
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -17,12 +17,14 @@
 	Customer       string            `json:"customer"`
 	Parameters     map[string]string `json:"parameters,omitempty"`
 	Timeout        time.Duration     `json:"-"` // header Request-Timeout; 0: the template's deadline
+	Repeat         bool              `json:"-"` // header Request-Attempt above 1
 }
 
 // JobInput is a submission of a job. Key makes a repeated submission return the
 // job that already exists.
 type JobInput struct {
 	Key        string             `json:"-"` // header Idempotency-Key
+	Repeat     bool               `json:"-"` // header Request-Attempt above 1
 	Template   string             `json:"template"`
 	Customer   string             `json:"customer"`
 	Count      int                `json:"count,omitempty"` // tasks; 0 means 1
--- a/internal/api/types.go
+++ b/internal/api/types.go
@@ -13,6 +13,11 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRequestTimeout is a Go duration such as "900ms".
 	HeaderRequestTimeout = "Request-Timeout"
+	// HeaderRequestAttempt counts the calls for one request or submission, from 1.
+	// A caller that repeats a call whose answer it did not receive sends 2 or
+	// more: the entry then never states "not run" without a proof that covers
+	// the earlier calls.
+	HeaderRequestAttempt = "Request-Attempt"
 	// HeaderIfMatch carries the version of the object that the operator saw.
 	HeaderIfMatch = "If-Match"
 	// HeaderTraceparent is the W3C trace context.
--- a/internal/entry/jobcalls.go
+++ b/internal/entry/jobcalls.go
@@ -46,7 +46,12 @@
 	if p.err != nil {
 		return structs.Job{}, p.err
 	}
-	return e.jobCall(ctx, opSubmit, p.job.ID, p.job)
+	job, err := e.jobCall(ctx, opSubmit, p.job.ID, p.job)
+	if in.Repeat && err != nil && rescode.Of(err).Outcome() == rescode.NotRun && rescode.Of(err) >= rescode.Overloaded {
+		// The earlier call may have been accepted by another entry.
+		err = rescode.Errorf(rescode.RepeatUnproven, "%w", err)
+	}
+	return job, err
 }
 
 // GetJob implements api.Service.
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -34,6 +34,7 @@
 	declared    time.Duration
 	estimate    classify.Estimate
 	fingerprint string
+	repeat      bool // an earlier call for the request may have run
 	item        admission.Item
 	ctx         context.Context // carries the trace; not cancelled with the caller
 	attempts    int
@@ -50,8 +51,26 @@
 	return 0
 }
 
-// SubmitRequest implements api.Service.
+// SubmitRequest implements api.Service. A call that repeats an earlier one is
+// never told "not run": the earlier call may have run through another entry.
 func (e *Entry) SubmitRequest(ctx context.Context, in api.RequestInput) (structs.Answer, error) {
+	answer, err := e.submitRequest(ctx, in)
+	if err == nil && in.Repeat {
+		answer = unproven(answer)
+	}
+	return answer, err
+}
+
+// unproven turns "not run" into unknown: the proof covers one call only.
+func unproven(answer structs.Answer) structs.Answer {
+	if answer.Code.Outcome() == rescode.NotRun {
+		answer.Detail = answer.Code.String() + "; an earlier call may have run"
+		answer.Outcome, answer.Code = rescode.Unknown, rescode.RepeatUnproven
+	}
+	return answer
+}
+
+func (e *Entry) submitRequest(ctx context.Context, in api.RequestInput) (structs.Answer, error) {
 	ctx, span := e.opts.Tracer.Start(ctx, "entry.request", trace.WithAttributes(attribute.String("template", in.Template)))
 	defer span.End()
 	type accepted struct {
@@ -117,7 +136,7 @@
 	}
 	now := time.Now()
 	r := &run{
-		team: customer.Team, issued: now, declared: time.Duration(template.ExpectedMillis) * time.Millisecond,
+		team: customer.Team, repeat: in.Repeat, issued: now, declared: time.Duration(template.ExpectedMillis) * time.Millisecond,
 		ctx: trace.ContextWithSpanContext(context.WithoutCancel(ctx), trace.SpanContextFromContext(ctx)),
 		request: structs.Request{
 			ID: in.ID, IdempotencyKey: in.IdempotencyKey, Template: template.Name, TemplateVersion: template.Version,
@@ -210,6 +229,9 @@
 		return
 	}
 	delete(c.runs, r.request.ID)
+	if r.repeat {
+		answer = unproven(answer)
+	}
 	c.entry.metrics.count(answer.Code)
 	c.deliver(c.answers.Complete(time.Now(), withOutcome(answer)))
 }
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -87,7 +88,7 @@
 // reach tells how far a call got.
 type reach struct {
 	tries int
-	sent  bool // a try may have reached an entry
+	sent  bool // a try without an answer may have reached an entry
 }
 
 // do tries entries in turn until one answers, the tries are used up or the
@@ -109,16 +110,23 @@
 		got.tries++
 		var r result
 		var sent bool
-		r, sent, err = c.try(ctx, entry, k, max(remaining, time.Millisecond))
-		got.sent = got.sent || sent
-		if err == nil {
+		r, sent, err = c.try(ctx, entry, k, got, max(remaining, time.Millisecond))
+		got.sent = got.sent || sent && err != nil
+		if err == nil && !(leaving(r) && got.tries < c.tries) {
 			return r, got, nil
 		}
 	}
 	return result{}, got, err
 }
 
-func (c *caller) try(ctx context.Context, entry string, k call, remaining time.Duration) (result, bool, error) {
+// leaving reports whether an entry refused a call because it shuts down, which
+// proves that it did not run: another entry may.
+func leaving(r result) bool {
+	answer, err := DecodeAnswer(r.body)
+	return err == nil && answer.Code == rescode.Leaving
+}
+
+func (c *caller) try(ctx context.Context, entry string, k call, got reach, remaining time.Duration) (result, bool, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), k.method, strings.TrimRight(entry, "/")+k.path, bytes.NewReader(k.body))
@@ -132,6 +140,9 @@
 	if k.key != "" {
 		req.Header.Set("Idempotency-Key", k.key)
 	}
+	if got.sent {
+		req.Header.Set("Request-Attempt", strconv.Itoa(got.tries))
+	}
 	if k.header {
 		req.Header.Set("Request-Timeout", remaining.Round(time.Millisecond).String())
 	}
--- a/internal/rescode/rescode.go
+++ b/internal/rescode/rescode.go
@@ -69,6 +69,7 @@
 	StoreUncertain Code = 3003
 	RecordExpired  Code = 3004
 	StillRunning   Code = 3005
+	RepeatUnproven Code = 3006
 
 	UpstreamFailed Code = 4001
 	CannotRun      Code = 4002
@@ -120,6 +121,7 @@
 	StoreUncertain:      "the key-value service may have applied the change",
 	RecordExpired:       "the record is no longer retained",
 	StillRunning:        "the request is still running",
+	RepeatUnproven:      "this call did not run it, but an earlier one may have",
 	UpstreamFailed:      "the upstream ran the request and failed",
 	CannotRun:           "no VM can ever run the job",
 	TaskFailed:          "the task failed",
