Keep a task away from the VM on which it failed

Change: a score plugin puts the VM of the last failure behind all others; the test submits more tasks than the other VMs hold, so that the failing one must draw some from two jobs, and checks that all of them finish. Conclusion: a bad worker no longer fails a job by itself.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -233,9 +233,14 @@
 }
 
 func (j *jobControl) taskOf(job structs.Job, t structs.Task, now time.Time) scheduler.Task {
+	failedOn := ""
+	if t.Failures > 0 {
+		failedOn = t.Worker
+	}
 	return scheduler.Task{
-		Shape: scheduler.Shape{Template: job.Template, QoS: job.QoS, Size: j.policy.size(job)},
-		ID:    structs.TaskID{Job: job.ID, Index: t.Index}, Attempt: t.Attempt, Team: job.Team,
+		FailedOn: failedOn,
+		Shape:    scheduler.Shape{Template: job.Template, QoS: job.QoS, Size: j.policy.size(job)},
+		ID:       structs.TaskID{Job: job.ID, Index: t.Index}, Attempt: t.Attempt, Team: job.Team,
 		Expected: time.Duration(job.ExpectedMillis) * time.Millisecond, LongRunning: job.LongRunning,
 		Recovered: t.Attempt > 0 && t.Evictions == 0, Enqueued: now,
 	}
--- a/internal/faults/vm_test.go
+++ b/internal/faults/vm_test.go
@@ -140,6 +140,8 @@
 		jobs = append(jobs, c.submit(i%3, "clip-batch", 2))
 	}
 	owner, _, _ := c.byShards()
+	// More tasks than the two other VMs hold: the failing one must draw some.
+	jobs = append(jobs, c.submit(owner, "clip-batch", 80), c.submit(owner, "clip-batch", 80))
 	c.eventually("quarantine", func() bool {
 		// A shard that moves to another entry refuses submissions for a moment.
 		if job, err := c.Entries[owner].Entry.SubmitJob(c.ctx, api.JobInput{Template: "clip-batch", Customer: "hue-temple-desk", Count: 2}); err == nil {
@@ -152,7 +154,7 @@
 	share := float64(len(c.Upstreams[1].Records().Executions)) / float64(c.check().Executions)
 	require.Less(t, share, 0.10, "share of the upstream that fails everything")
 	for _, job := range jobs {
-		c.eventually("end of "+job.ID, func() bool { return c.inState(1, job, structs.TaskDone) == 2 })
+		c.eventually("end of "+job.ID, func() bool { return c.inState(1, job, structs.TaskDone) == job.Count })
 	}
 	// A quarantined worker takes no further task.
 	before := len(c.Workers[0].Records().Events)
--- a/internal/scheduler/plugins/plugins.go
+++ b/internal/scheduler/plugins/plugins.go
@@ -8,6 +8,7 @@
 	"vanillalock.example/vanillalock/internal/scheduler/plugins/fragmentation"
 	"vanillalock.example/vanillalock/internal/scheduler/plugins/interference"
 	"vanillalock.example/vanillalock/internal/scheduler/plugins/quarantine"
+	"vanillalock.example/vanillalock/internal/scheduler/plugins/retried"
 	"vanillalock.example/vanillalock/internal/scheduler/plugins/spread"
 )
 
@@ -24,7 +25,7 @@
 	sp := spread.New()
 	return scheduler.Plugins{
 		Filters:  []scheduler.Filter{quarantine.Plugin{}, capacity.Plugin{}, accelerators.Plugin{}, inter},
-		Scores:   []scheduler.Score{inter, fragmentation.Plugin{}, accelerators.Plugin{}, sp},
+		Scores:   []scheduler.Score{inter, fragmentation.Plugin{}, accelerators.Plugin{}, sp, retried.Plugin{}},
 		Reserves: []scheduler.Reserve{capacity.Plugin{}, sp},
 	}, inter
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -35,6 +35,8 @@
 	LongRunning bool
 	// Recovered marks a task whose VM was lost: its restart is rate bounded.
 	Recovered bool
+	// FailedOn is the VM on which the last attempt failed, or empty.
+	FailedOn string
 	// Held is set when room on a VM is held for the task. Plugins then drop
 	// limits that are preferences, so that no task waits for ever.
 	Held     bool
