Measure the capacity slopes of sessions again

Cause: the slopes of idle sessions and tasks were measured before the change of the pings and with other load on the machine. The slope per task spreads from -2 to 84 B/s and is not used; the bound of 800 B/s is.

--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -169,9 +169,9 @@
 	live := m.at("memory.agent", scaleEntries) + perNodeTasks*taskMemory + maxRecords*m.perRecord("memory.record")
 	return group{"Agent (one per VM, 6 sessions, 23.2 running tasks)", []row{
 		{"control traffic, idle", "idle(6 entries)", []string{"agent.idle_bytes"}, m.at("agent.idle_bytes", scaleEntries), "B/s", budgetNodeBytes,
-			"one session to each entry of the region, one heartbeat per 2 s", "yamux pings from both ends each second"},
+			"one session to each entry of the region, one heartbeat per 2 s", "pings of the dialing end each second"},
 		{"control traffic with tasks", "idle(6) + 23.2 × per task", []string{"agent.idle_bytes", "agent.task_bytes"}, m.agentBytes(), "B/s", budgetNodeBytes,
-			"usage goes only to the owner of the task's shard", "usage of every task in every heartbeat"},
+			"usage of all tasks at most every 5 s and within 800 B/s", "usage of every task in every heartbeat"},
 		{"the same with TCP and IP headers", "above + 52 × segments", []string{"agent.idle_segments", "agent.task_segments"}, m.agentWireBytes(), "B/s", budgetNodeBytes,
 			"none today", "small segments: pings and their acknowledgements"},
 		{"edits", "6/3 × per edit × 260/day", []string{"agent.edit_bytes"}, float64(scaleEntries) / 3 * m.slope("agent.edit_bytes") * scaleEditsPerDay / secondsPerDay, "B/s", budgetNodeBytes,
@@ -216,8 +216,8 @@
 	return group{"Sessions", []row{
 		{"agent–entry control session", "slope", []string{"agent.idle_bytes"}, m.slope("agent.idle_bytes"), "B/s", 0, "yamux, one stream", "pings"},
 		{"its data frames", "slope", []string{"agent.idle_data_frames"}, m.slope("agent.idle_data_frames"), "frames/s", 0, "heartbeat and acknowledgement", ""},
-		{"its pings", "slope", []string{"agent.idle_pings"}, m.slope("agent.idle_pings"), "frames/s", 0, "a ping and a reply from each end, each second", "half is enough: one end may ping"},
-		{"its TCP segments", "slope", []string{"agent.idle_segments"}, m.slope("agent.idle_segments"), "segments/s", 0, "", "yamux writes header and body apart"},
+		{"its pings", "slope", []string{"agent.idle_pings"}, m.slope("agent.idle_pings"), "frames/s", 0, "a ping of the dialing end and its reply, each second", "no ping on a session that carried a frame"},
+		{"its TCP segments", "slope", []string{"agent.idle_segments"}, m.slope("agent.idle_segments"), "segments/s", 0, "", "one segment per frame, and acknowledgements"},
 		{"heartbeat with its acknowledgement, processor of both ends", "slope / 0.5 per s", []string{"cpu.session"}, m.slope("cpu.session") / heartbeatsPerSecond, "s", 0, "pings included", ""},
 		{"heartbeat with its acknowledgement, allocations of both ends", "slope / 0.5 per s", []string{"allocs.session"}, m.slope("allocs.session") / heartbeatsPerSecond, "objects", 0, "pings included", ""},
 		{"its memory, both ends", "slope", []string{"memory.agent"}, m.slope("memory.agent"), "B", 0, "buffers and goroutines of both ends", ""},
