--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -24,39 +26,54 @@
 	return ok && ready
 }
 
-// GetTemplate implements api.Service.
-func (e *Entry) GetTemplate(ctx context.Context, name string) (structs.Template, error) {
-	t, ok := ask(ctx, e, func(c *control) *structs.Template {
-		if t, exists := c.templates[name]; exists {
-			return &t
+func templatesOf(c *control) map[string]structs.Template { return c.templates }
+
+func customersOf(c *control) map[string]structs.Customer { return c.customers }
+
+// getObject returns the object in force under a name, or NotFound for field.
+func getObject[T any](ctx context.Context, e *Entry, name, field string, of func(*control) map[string]T) (T, error) {
+	var zero T
+	object, ok := ask(ctx, e, func(c *control) *T {
+		if o, exists := of(c)[name]; exists {
+			return &o
 		}
 		return nil
 	})
 	switch {
 	case !ok:
-		return structs.Template{}, errStopped
-	case t == nil:
-		return structs.Template{}, rescode.FieldErrorf(rescode.NotFound, "template", "%q does not exist", name)
+		return zero, errStopped
+	case object == nil:
+		return zero, rescode.FieldErrorf(rescode.NotFound, field, "%q does not exist", name)
 	}
-	return *t, nil
+	return *object, nil
 }
 
-// ListTemplates implements api.Service.
-func (e *Entry) ListTemplates(ctx context.Context) ([]structs.Template, error) {
-	list, ok := ask(ctx, e, func(c *control) []structs.Template {
-		out := make([]structs.Template, 0, len(c.templates))
-		for _, t := range c.templates {
-			out = append(out, t)
+// listObjects returns the objects in force, ordered by name.
+func listObjects[T any](ctx context.Context, e *Entry, of func(*control) map[string]T) ([]T, error) {
+	list, ok := ask(ctx, e, func(c *control) []T {
+		objects := of(c)
+		out := make([]T, 0, len(objects))
+		for _, name := range slices.Sorted(maps.Keys(objects)) {
+			out = append(out, objects[name])
 		}
 		return out
 	})
 	if !ok {
 		return nil, errStopped
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list, nil
 }
 
+// GetTemplate implements api.Service.
+func (e *Entry) GetTemplate(ctx context.Context, name string) (structs.Template, error) {
+	return getObject(ctx, e, name, "template", templatesOf)
+}
+
+// ListTemplates implements api.Service.
+func (e *Entry) ListTemplates(ctx context.Context) ([]structs.Template, error) {
+	return listObjects(ctx, e, templatesOf)
+}
+
 // SetTemplate implements api.Service.
 func (e *Entry) SetTemplate(ctx context.Context, t structs.Template, expected uint64) (structs.Template, error) {
 	t.Version, t.Deleted = 0, false
@@ -84,35 +101,12 @@
 
 // GetCustomer implements api.Service.
 func (e *Entry) GetCustomer(ctx context.Context, name string) (structs.Customer, error) {
-	customer, ok := ask(ctx, e, func(c *control) *structs.Customer {
-		if customer, exists := c.customers[name]; exists {
-			return &customer
-		}
-		return nil
-	})
-	switch {
-	case !ok:
-		return structs.Customer{}, errStopped
-	case customer == nil:
-		return structs.Customer{}, rescode.FieldErrorf(rescode.NotFound, "customer", "%q does not exist", name)
-	}
-	return *customer, nil
+	return getObject(ctx, e, name, "customer", customersOf)
 }
 
 // ListCustomers implements api.Service.
 func (e *Entry) ListCustomers(ctx context.Context) ([]structs.Customer, error) {
-	list, ok := ask(ctx, e, func(c *control) []structs.Customer {
-		out := make([]structs.Customer, 0, len(c.customers))
-		for _, customer := range c.customers {
-			out = append(out, customer)
-		}
-		return out
-	})
-	if !ok {
-		return nil, errStopped
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list, nil
+	return listObjects(ctx, e, customersOf)
 }
 
 // SetCustomer implements api.Service.
