Learn which images disturb each other by Bayes' rule against a group's usual level

In the recorded readings the serving tasks of one job share a swing of load (0.26 to 0.62 of the target within 12 s); against their lower quarter a task alone stays within 0.92 and 1.27, and a disturbance shows in 0.45 to 1.0 of the readings, by its amount. The counted evidence used levels alone, counted one rise once per task of the VM, blamed harmless images for it and forgot the others within 20 s. Change: a reading counts against the usual level of its group on all VMs, or of the task itself where fewer than three VMs show it; each pair has a likelihood that Bayes' rule updates, with the chance of a rise without a cause.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -279,7 +279,7 @@
 			filling = append(filling, tail.Filling{Image: s.Image, For: now.Sub(r.Paced), Cores: float64(s.Need.MilliCPU) / 1000, Pace: r.PaceNow()})
 		}
 		if s.TailTarget > 0 {
-			serving = append(serving, tail.Serving{ID: r.ID.String(), Image: s.Image, Target: s.TailTarget, Tail: tailOf(r)})
+			serving = append(serving, tail.Serving{ID: r.ID.String(), Group: r.ID.Job, Image: s.Image, Target: s.TailTarget, Tail: tailOf(r)})
 		}
 	}
 	return runs, filling, serving
@@ -297,7 +297,7 @@
 // tasks.
 func (p *planner) listed(n *ledger.Node, now time.Time) {
 	runs, filling, serving := tasksOf(n, now)
-	p.book.Observe(filling, serving, now)
+	p.book.Observe(n.Name, filling, serving, now)
 	for i, advice := range p.book.Advise(filling, serving) {
 		if r := runs[i]; advice.Pace == 0 && r.Pace == 0 && now.Sub(r.Paced) > parkAfter {
 			p.ledger.Stop(r, "stands still, others need its memory")
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -79,10 +79,10 @@
 
 // Disturbance of tasks that serve.
 const (
-	maxPress  = 0.3  // likelihood above which a filling task is kept apart
+	maxPress  = 0.4  // likelihood above which a filling task is kept apart
 	busyLevel = 0.55 // share of the target above which a task is loaded too much for an unknown image
 	// trustedPress is the likelihood below which an image is known as harmless.
-	trustedPress = 0.05
+	trustedPress = 0.1
 )
 
 // maxTrouble is the trouble over the usual one that keeps tasks off a VM.
--- a/internal/fleet/tail/tail.go
+++ b/internal/fleet/tail/tail.go
@@ -20,33 +20,44 @@
 	// readingEvery is the least time between two readings that say something
 	// new: each covers the last half second.
 	readingEvery = 450 * time.Millisecond
-	// A reading shows the effect of a filling task partly after blameAfter and
-	// nearly whole after praiseAfter.
-	blameAfter  = 300 * time.Millisecond
-	praiseAfter = 900 * time.Millisecond
+	// A reading shows the effect of a filling task from effectAfter on, and all
+	// of it after another effectWhole.
+	effectAfter = 100 * time.Millisecond
+	effectWhole = 500 * time.Millisecond
 	// falling is the share of the last reading below which a task recovers: what
 	// disturbed it has gone, and its queue takes seconds to drain.
 	falling = 0.92
-	// jump is the rise between two readings that a load alone does not make, and
-	// jumpFrom the share of the target from which it counts.
-	jump     = 1.4
-	jumpFrom = 0.4
-	// Shares of the target: above high a reading is bad, below low it is good.
-	// In between it says nothing.
+	// raised is how far over the usual level of its group a load alone does not
+	// take a task, and raisedFrom the share of the target from which it counts.
+	raised     = 1.4
+	raisedFrom = 0.4
+	// The lower quarter of the readings of the last groupTime shows the usual
+	// level of a group, if they come from groupVMs VMs: some may be disturbed.
+	groupVMs  = 3
+	groupTime = 1100 * time.Millisecond
+	// drift is how fast a load may rise between two readings of a raised task.
+	drift = 1.08
+	// high is the share of the target above which a reading is bad.
 	high = 0.85
-	low  = 0.6
-	// calm is the share of the target below which the load is too low for a good
-	// reading to say much; calmWeight is what it counts then.
-	calm       = 0.3
-	calmWeight = 0.35
-	// priorBad and priorGood are the evidence that a new pair begins with.
-	priorBad  = 0.15
-	priorGood = 1.5
-	// guilty is the share of bad evidence above which a pair is kept apart.
-	guilty = 0.3
+	// priorBad is the share of pairs that disturb.
+	priorBad = 0.25
+	// noticed is the rate at which the chance to notice a disturbance rises with
+	// the amount of the filling image: 0.55 for one task, 0.8 for two.
+	noticed = 0.8
+	// surest bounds what one reading may say.
+	surest = 0.9
+	// Chances of a bad reading that no filling task has caused: of a sudden one,
+	// and of one that follows another.
+	sudden   = 0.03
+	lingered = 0.25
+	// most bounds the evidence for or against a pair, in natural logarithms of
+	// odds, so that it can change.
+	most = 5.0
+	// guilty is the likelihood above which a pair is kept apart.
+	guilty = 0.5
 	// memory is the half-life of evidence. A pair that was blamed wrongly is
 	// tried again after a while.
-	memory = 20 * time.Second
+	memory = 40 * time.Second
 	// fullCores is the amount of a filling image that counts as one task.
 	fullCores = 3.0
 )
@@ -54,6 +65,7 @@
 // Serving is a task that serves.
 type Serving struct {
 	ID     string
+	Group  string // the tasks of one group share a load
 	Image  string
 	Target time.Duration
 	Tail   time.Duration // newest reading; 0: none
@@ -79,37 +91,53 @@
 
 type pair struct{ serving, filling string }
 
+// evidence is the logarithm of the odds that a pair disturbs, over the odds that
+// a new pair has.
 type evidence struct {
-	good, bad float64
-	at        time.Time
+	weight float64
+	at     time.Time
 }
 
 // served is what is known of a task that serves.
 type served struct {
 	level   float64   // last reading as a share of the target
-	read    time.Time // when
+	usual   float64   // what the load explains, by the task's own readings
+	read    time.Time // when the last one was taken
 	over    time.Time // since when it has been over the target; zero: it is not
 	falling bool
-	jumped  bool // it rises faster than a load does
+	raised  bool // higher than its load explains
+}
+
+// reading is a level on a VM at a time.
+type reading struct {
+	level float64
+	vm    string
+	at    time.Time
 }
 
 // Book keeps the evidence.
 type Book struct {
-	pairs map[pair]*evidence
-	tasks map[string]*served
-	now   time.Time
+	pairs  map[pair]*evidence
+	tasks  map[string]*served
+	groups map[string][]reading // newest readings, oldest first
+	now    time.Time
 }
 
 // NewBook returns a Book that knows nothing.
 func NewBook() *Book {
-	return &Book{pairs: map[pair]*evidence{}, tasks: map[string]*served{}}
+	return &Book{pairs: map[pair]*evidence{}, tasks: map[string]*served{}, groups: map[string][]reading{}}
 }
 
 // tasksKept is how long a task without a reading is remembered: it has ended.
 const tasksKept = 30 * time.Second
 
-// forget drops the tasks that serve no longer.
+// forget drops the tasks and groups that serve no longer.
 func (b *Book) forget() {
+	for name, readings := range b.groups {
+		if b.now.Sub(readings[len(readings)-1].at) > tasksKept {
+			delete(b.groups, name)
+		}
+	}
 	for id, t := range b.tasks {
 		if b.now.Sub(t.read) > tasksKept {
 			delete(b.tasks, id)
@@ -117,14 +145,13 @@
 	}
 }
 
-// Suspicion returns the share of bad evidence against a filling image.
+// Suspicion returns how likely a filling image disturbs a serving one, 0 to 1.
 func (b *Book) Suspicion(serving, filling string) float64 {
-	good, bad := priorGood, priorBad
+	odds := priorBad / (1 - priorBad)
 	if e := b.pairs[pair{serving, filling}]; e != nil {
-		fade := b.fade(e)
-		good, bad = good+e.good*fade, bad+e.bad*fade
+		odds *= math.Exp(e.weight * b.fade(e))
 	}
-	return bad / (good + bad)
+	return odds / (1 + odds)
 }
 
 // Disturbs reports whether a filling image is kept apart from a serving one.
@@ -136,29 +163,33 @@
 	return math.Exp2(-float64(b.now.Sub(e.at)) / float64(memory))
 }
 
-func (b *Book) add(p pair, good, bad float64) {
+func (b *Book) add(p pair, weight float64) {
 	e := b.pairs[p]
 	if e == nil {
 		e = &evidence{at: b.now}
 		b.pairs[p] = e
 	}
-	fade := b.fade(e)
-	e.good, e.bad, e.at = e.good*fade+good, e.bad*fade+bad, b.now
+	e.weight, e.at = min(most, max(-most, e.weight*b.fade(e)+weight)), b.now
 }
 
 // Observe takes in the lists of a VM.
-func (b *Book) Observe(filling []Filling, serving []Serving, now time.Time) {
+func (b *Book) Observe(vm string, filling []Filling, serving []Serving, now time.Time) {
 	if now.After(b.now) {
 		b.now = now
 	}
+	// Tasks of one image on a VM see the same, so together they count as one.
+	same := map[string]float64{}
+	for _, s := range serving {
+		same[s.Image]++
+	}
 	for _, s := range serving {
 		if s.level() > 0 {
-			b.reading(s, filling)
+			b.reading(vm, s, filling, 1/same[s.Image])
 		}
 	}
 }
 
-func (b *Book) reading(s Serving, filling []Filling) {
+func (b *Book) reading(vm string, s Serving, filling []Filling, weight float64) {
 	t := b.tasks[s.ID]
 	if t == nil {
 		t = &served{}
@@ -167,9 +198,18 @@
 	if b.now.Sub(t.read) < readingEvery {
 		return
 	}
-	level := s.level()
+	level, wasRaised := s.level(), t.raised
+	usual, known := b.usual(s.Group)
+	if !known {
+		usual = t.usual
+	}
 	t.falling = level < falling*t.level
-	t.jumped = t.level > 0 && level > jump*t.level && level > jumpFrom
+	t.raised = level > high || usual > 0 && level > raised*usual && level > raisedFrom
+	if t.raised && t.usual > 0 {
+		t.usual = min(level, drift*t.usual)
+	} else {
+		t.usual = level
+	}
 	t.level, t.read = level, b.now
 	switch {
 	case level <= 1:
@@ -177,61 +217,86 @@
 	case t.over.IsZero():
 		t.over = b.now
 	}
+	b.groups[s.Group] = append(b.groups[s.Group], reading{level, vm, b.now})
 	switch {
-	case (level > high || t.jumped) && !t.falling:
-		b.blame(s, amounts(filling, blameAfter))
-	case level < low:
-		weight := 1.0
-		if level < calm {
-			weight = calmWeight
-		}
-		for image, amount := range amounts(filling, praiseAfter) {
-			b.add(pair{s.Image, image}, weight*min(1, amount), 0)
-		}
+	case usual == 0 && !t.raised: // nothing to compare it with
+	case !t.raised:
+		b.learn(s.Image, filling, false, sudden, weight)
+	case !wasRaised && usual > 0:
+		b.learn(s.Image, filling, true, sudden, weight)
+	case !t.falling:
+		b.learn(s.Image, filling, true, lingered, weight)
 	}
 }
 
-// amounts adds up the filling tasks by image that have worked for a time.
-func amounts(filling []Filling, worked time.Duration) map[string]float64 {
-	out := map[string]float64{}
-	for _, f := range filling {
-		if f.For >= worked {
-			out[f.Image] += f.amount()
-		}
+// usual returns the level that the load of a group explains, if enough VMs show it.
+func (b *Book) usual(group string) (float64, bool) {
+	readings := b.groups[group]
+	for len(readings) > 0 && b.now.Sub(readings[0].at) > groupTime {
+		readings = readings[1:]
 	}
-	return out
+	b.groups[group] = readings
+	vms := map[string]struct{}{}
+	levels := make([]float64, len(readings))
+	for i, r := range readings {
+		levels[i] = r.level
+		vms[r.vm] = struct{}{}
+	}
+	if len(vms) < groupVMs {
+		return 0, false
+	}
+	slices.Sort(levels)
+	return levels[len(levels)/4], true
 }
 
-// blame spreads one bad reading over the filling images by suspicion, so that
-// those that have been harmless take little of it.
-func (b *Book) blame(s Serving, amounts map[string]float64) {
-	total := 0.0
+// learn updates the likelihood of each pair by Bayes' rule after a reading that
+// was bad or not, given the chance of a bad reading without a cause.
+func (b *Book) learn(serving string, filling []Filling, bad bool, chance, weight float64) {
+	amounts := map[string]float64{}
+	for _, f := range filling {
+		if share := min(1, float64(f.For-effectAfter)/float64(effectWhole)); share > 0 {
+			amounts[f.Image] += share * f.amount()
+		}
+	}
+	quiet := 1 - chance // likelihood that no image disturbs
 	for image, amount := range amounts {
-		total += b.weight(s.Image, image, amount)
+		quiet *= 1 - b.Suspicion(serving, image)*notice(amount)
 	}
-	if total == 0 {
-		return
+	type update struct {
+		image  string
+		weight float64
 	}
+	var updates []update
 	for image, amount := range amounts {
-		b.add(pair{s.Image, image}, 0, b.weight(s.Image, image, amount)/total)
+		n := notice(amount)
+		if n == 0 {
+			continue
+		}
+		others := quiet / (1 - b.Suspicion(serving, image)*n)
+		ratio := 1 - n
+		if bad {
+			ratio = (1 - others*(1-n)) / (1 - others)
+		}
+		updates = append(updates, update{image, weight * math.Log(ratio)})
+	}
+	for _, u := range updates {
+		b.add(pair{serving, u.image}, u.weight)
 	}
 }
 
-func (b *Book) weight(serving, image string, amount float64) float64 {
-	suspicion := b.Suspicion(serving, image)
-	return suspicion * suspicion * amount
-}
+// notice returns the chance that a reading shows the disturbance by an amount of
+// a filling image.
+func notice(amount float64) float64 { return surest * (1 - math.Exp(-noticed*amount)) }
 
-// Learned is the evidence of one pair of images, to be stored.
+// Learned is the evidence on one pair of images, to be stored.
 type Learned struct {
 	Serving string  `json:"s"`
 	Filling string  `json:"f"`
-	Good    float64 `json:"g"`
-	Bad     float64 `json:"b"`
+	Weight  float64 `json:"w"` // natural logarithm of odds, over those of a new pair
 }
 
-// minEvidence is the evidence that is worth storing.
-const minEvidence = 0.2
+// minWeight is the evidence that is worth storing.
+const minWeight = 0.2
 
 // Export returns the evidence as of now, for a later leader. It is called from
 // time to time, so it also drops the tasks that have ended.
@@ -239,9 +304,8 @@
 	b.forget()
 	var out []Learned
 	for p, e := range b.pairs {
-		fade := b.fade(e)
-		if l := (Learned{p.serving, p.filling, round(e.good * fade), round(e.bad * fade)}); l.Good+l.Bad >= minEvidence {
-			out = append(out, l)
+		if w := e.weight * b.fade(e); math.Abs(w) >= minWeight {
+			out = append(out, Learned{p.serving, p.filling, round(w)})
 		}
 	}
 	slices.SortFunc(out, func(a, b Learned) int {
@@ -256,7 +320,7 @@
 func (b *Book) Import(learned []Learned, now time.Time) {
 	b.now = now
 	for _, l := range learned {
-		b.pairs[pair{l.Serving, l.Filling}] = &evidence{good: l.Good, bad: l.Bad, at: now}
+		b.pairs[pair{l.Serving, l.Filling}] = &evidence{weight: l.Weight, at: now}
 	}
 }
 
@@ -297,14 +361,14 @@
 
 func (b *Book) advise(out []Advice, filling []Filling, s Serving) {
 	t := b.tasks[s.ID]
-	disturbed := t != nil && !t.falling && (s.level() > slowAbove || t.jumped)
+	disturbed := t != nil && !t.falling && (s.level() > slowAbove || t.raised)
 	for i, f := range filling {
 		if !b.Disturbs(s.Image, f.Image) {
 			continue
 		}
 		out[i].Move = true
 		switch {
-		case s.level() > slowAbove || t != nil && t.jumped:
+		case s.level() > slowAbove || t != nil && t.raised:
 			out[i].Pace = 0
 		case s.level() > easyBelow:
 			out[i].Pace = min(out[i].Pace, slowPace)
@@ -346,10 +410,10 @@
 
 // suspect returns the index of the filling task that most likely disturbs s.
 func (b *Book) suspect(filling []Filling, s Serving) int {
-	best, most := -1, 0.0
+	best, highest := -1, 0.0
 	for i, f := range filling {
-		if w := b.weight(s.Image, f.Image, f.amount()); w > most {
-			best, most = i, w
+		if p := b.Suspicion(s.Image, f.Image) * notice(f.amount()); p > highest {
+			best, highest = i, p
 		}
 	}
 	return best
