--- a/internal/fleet/tail/tail.go
+++ b/internal/fleet/tail/tail.go
@@ -179,17 +179,23 @@
 	}
 	// Tasks of one image on a VM see the same, so together they count as one.
 	same := map[string]float64{}
+	usual := map[string]float64{} // by group; 0: not known
 	for _, s := range serving {
 		same[s.Image]++
+		if _, known := usual[s.Group]; !known {
+			usual[s.Group] = b.usual(s.Group)
+		}
 	}
 	for _, s := range serving {
 		if s.level() > 0 {
-			b.reading(vm, s, filling, 1/same[s.Image])
+			b.reading(vm, s, filling, usual[s.Group], 1/same[s.Image])
 		}
 	}
 }
 
-func (b *Book) reading(vm string, s Serving, filling []Filling, weight float64) {
+// reading takes in the newest reading of a task, whose group is at its usual
+// level, or 0 if that is not known.
+func (b *Book) reading(vm string, s Serving, filling []Filling, usual, weight float64) {
 	t := b.tasks[s.ID]
 	if t == nil {
 		t = &served{}
@@ -199,8 +205,7 @@
 		return
 	}
 	level, wasRaised := s.level(), t.raised
-	usual, known := b.usual(s.Group)
-	if !known {
+	if usual == 0 {
 		usual = t.usual
 	}
 	t.falling = level < falling*t.level
@@ -229,12 +234,17 @@
 	}
 }
 
-// usual returns the level that the load of a group explains, if enough VMs show it.
-func (b *Book) usual(group string) (float64, bool) {
+// usual returns the level that the load of a group explains, or 0 if too few VMs
+// show it.
+func (b *Book) usual(group string) float64 {
 	readings := b.groups[group]
 	for len(readings) > 0 && b.now.Sub(readings[0].at) > groupTime {
 		readings = readings[1:]
 	}
+	if len(readings) == 0 {
+		delete(b.groups, group)
+		return 0
+	}
 	b.groups[group] = readings
 	vms := map[string]struct{}{}
 	levels := make([]float64, len(readings))
@@ -243,10 +253,10 @@
 		vms[r.vm] = struct{}{}
 	}
 	if len(vms) < groupVMs {
-		return 0, false
+		return 0
 	}
 	slices.Sort(levels)
-	return levels[len(levels)/4], true
+	return levels[len(levels)/4]
 }
 
 // learn updates the likelihood of each pair by Bayes' rule after a reading that
