--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,11 +23,10 @@
 	askTimeout = 600 * time.Millisecond // the leader answers within milliseconds
 	// notifyTries is how often the leader is told of a job. Its watch finds the
 	// job too.
-	notifyTries  = 3
-	configWait   = 2 * time.Second
-	configRetry  = 200 * time.Millisecond
-	configAgain  = 700 * time.Millisecond // after a watch that failed; a relayed configuration is large
-	comeBackSoon = time.Second            // the shortest time that Retry-After can state
+	notifyTries = 3
+	configWait  = 2 * time.Second
+	configRetry = 200 * time.Millisecond
+	configAgain = 700 * time.Millisecond // after a watch that failed; a relayed configuration is large
 )
 
 // Entry serves callers. One of the entries leads.
@@ -254,7 +254,7 @@
 	}
 	if e.store.isDown() {
 		// Refused at once: a call without an answer would leave the outcome open.
-		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: comeBackSoon, Cause: "the store is out of reach"}
+		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: e.comeBack(), Cause: "the store is out of reach"}
 	}
 	value, err := json.Marshal(job)
 	if err != nil {
@@ -270,12 +270,15 @@
 	case errors.As(err, &conflict):
 		return fleet.Answer{} // it was accepted before
 	case errors.Is(err, kv.ErrUnavailable):
-		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: comeBackSoon, Cause: err.Error()}
+		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: e.comeBack(), Cause: err.Error()}
 	default:
 		return fleet.Answer{Result: fleet.ResultUnknown, Cause: err.Error()}
 	}
 }
 
+// comeBack returns when a caller that is refused now should come back.
+func (e *Entry) comeBack() time.Duration { return comeBack(e.store.outage(), rand.Float64()) }
+
 // notify tells the leader what is in the store, so that it need not wait for
 // its watch.
 func (e *Entry) notify(q *pb.FleetAsk) {
@@ -342,10 +345,10 @@
 		if isNotFound(err) {
 			return fleet.Answer{Result: fleet.ResultNoSuchJob, Cause: "no such job"}
 		}
-		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: comeBackSoon, Cause: err.Error()}
+		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.comeBack(), Cause: err.Error()}
 	}
 	if _, err := e.opts.Store.Commit(ctx, fleet.Txn{Put: []fleet.Write{{Key: fleet.CancelBase + id, Value: []byte("{}")}}}); err != nil {
-		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: comeBackSoon, Cause: err.Error()}
+		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.comeBack(), Cause: err.Error()}
 	}
 	go e.notify(&pb.FleetAsk{Kind: link.AskCancelled, Id: id})
 	return fleet.Answer{}
@@ -355,7 +358,7 @@
 func (e *Entry) Waiting(ctx context.Context, queue string) fleet.Answer {
 	reply, err := e.ask(ctx, &pb.FleetAsk{Kind: link.AskWaiting, Queue: queue})
 	if err != nil {
-		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: comeBackSoon, Cause: err.Error()}
+		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: e.comeBack(), Cause: err.Error()}
 	}
 	return fleet.Answer{Waiting: int(reply.GetWaiting())}
 }
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -37,11 +37,20 @@
 	relay func(ctx context.Context, call storeCall) (storeReply, error)
 	avoid atomic.Int64 // until then, in ns of the process's own clock, the store is not called directly
 	lost  atomic.Int64 // calls in a row that got no answer on any way
+	since atomic.Int64 // when the first of them ended, in ns of the process's own clock
 }
 
 // isDown reports whether the store is out of reach.
 func (r *relayStore) isDown() bool { return r.lost.Load() >= downAfter }
 
+// outage returns for how long the store has been out of reach, or 0.
+func (r *relayStore) outage() time.Duration {
+	if r.lost.Load() == 0 {
+		return 0
+	}
+	return time.Duration(sinceStart() - r.since.Load())
+}
+
 // storeCall is a call to the store in the form in which it is relayed.
 type storeCall struct {
 	Get    string        `json:"get,omitempty"`
@@ -82,7 +91,9 @@
 	case !isOutage(err):
 		r.lost.Store(0)
 	case ctx.Err() == nil:
-		r.lost.Add(1)
+		if r.lost.Add(1) == 1 {
+			r.since.Store(sinceStart())
+		}
 	}
 	return reply, err
 }
