Split the pace from the evidence and state the sources of their figures

The evidence is updated in the order of the images' names, so that equal readings give equal likelihoods.

--- a/internal/fleet/tail/tail.go
+++ b/internal/fleet/tail/tail.go
@@ -2,70 +2,78 @@
 // images disturb which serving ones, and sets the pace of filling tasks. It is
 // pure.
 //
-// Few pairs of images disturb each other, but those do it strongly, and more at
-// times of high load. So the package keeps for each pair how often the serving
-// image was fine beside the filling one and how often it was not, and puts the
-// blame for a reading on the image that explains it best.
+// Few pairs of images disturb each other, but those do it strongly. The tasks of
+// one job share a load that swings within seconds, so a reading counts against
+// the usual level of its group. For each pair the package keeps how likely it
+// disturbs, by Bayes' rule: a reading that is too high speaks against the images
+// that explain it best, any other for all images beside the task.
 package tail
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 )
 
-// Figures of the evidence.
+// Figures of the evidence. Those without another source come from the readings
+// of two days of the users' bench with 70 VMs, 9 serving and 18 filling images.
 const (
 	// readingEvery is the least time between two readings that say something
-	// new: each covers the last half second.
+	// new: the platform lets each cover the last half second.
 	readingEvery = 450 * time.Millisecond
-	// A reading shows the effect of a filling task from effectAfter on, and all
-	// of it after another effectWhole.
+	// A reading shows the effect of a filling task from effectAfter on, the time
+	// in which the platform applies a pace, and all of it after effectWhole more.
 	effectAfter = 100 * time.Millisecond
 	effectWhole = 500 * time.Millisecond
 	// falling is the share of the last reading below which a task recovers: what
 	// disturbed it has gone, and its queue takes seconds to drain.
 	falling = 0.92
-	// raised is how far over the usual level of its group a load alone does not
-	// take a task, and raisedFrom the share of the target from which it counts.
+	// raised is the share of the usual level of its group over which a load alone
+	// does not take a task: nine in ten stay below 1.27. Below raisedFrom, a share
+	// of the target, a rise harms nobody.
 	raised     = 1.4
 	raisedFrom = 0.4
 	// The lower quarter of the readings of the last groupTime shows the usual
-	// level of a group, if they come from groupVMs VMs: some may be disturbed.
+	// level of a group, as some tasks may be disturbed: two readings of each task,
+	// from groupVMs VMs at least.
 	groupVMs  = 3
 	groupTime = 1100 * time.Millisecond
-	// drift is how fast a load may rise between two readings of a raised task.
+	// drift is how fast a load rises between two readings at most.
 	drift = 1.08
-	// high is the share of the target above which a reading is bad.
+	// high is the share of the target above which a reading is bad for any load:
+	// loads alone reach 0.62.
 	high = 0.85
-	// priorBad is the share of pairs that disturb.
+	// priorBad is the share of pairs that disturb: 31 of 139.
 	priorBad = 0.25
 	// noticed is the rate at which the chance to notice a disturbance rises with
-	// the amount of the filling image: 0.55 for one task, 0.8 for two.
+	// the amount of the filling image: 0.5 for one task, 0.7 for two.
 	noticed = 0.8
-	// surest bounds what one reading may say.
+	// surest bounds that chance, as one reading may always deceive.
 	surest = 0.9
-	// Chances of a bad reading that no filling task has caused: of a sudden one,
-	// and of one that follows another.
+	// Chances of a bad reading that no filling task has caused: of a sudden one
+	// (0.014 of those beside no filling task), and of one that follows another,
+	// while a queue drains.
 	sudden   = 0.03
 	lingered = 0.25
 	// most bounds the evidence for or against a pair, in natural logarithms of
-	// odds, so that it can change.
+	// odds: three readings can turn it.
 	most = 5.0
-	// guilty is the likelihood above which a pair is kept apart.
+	// guilty is the likelihood above which a filling task is moved and slowed.
 	guilty = 0.5
-	// memory is the half-life of evidence. A pair that was blamed wrongly is
-	// tried again after a while.
+	// memory is the half-life of evidence, a few returns of an image, which comes
+	// again within 10 to 20 s. A pair that was blamed wrongly is tried again.
 	memory = 40 * time.Second
-	// fullCores is the amount of a filling image that counts as one task.
+	// fullCores is the amount of a filling image that counts as one task: the
+	// mean task of the users' larger kind of job takes 3.5 cores.
 	fullCores = 3.0
 )
 
 // Serving is a task that serves.
 type Serving struct {
 	ID     string
-	Group  string // the tasks of one group share a load
+	Group  string // the tasks of one group, such as a job, share a load
 	Image  string
 	Target time.Duration
 	Tail   time.Duration // newest reading; 0: none
@@ -268,29 +276,23 @@
 			amounts[f.Image] += share * f.amount()
 		}
 	}
-	quiet := 1 - chance // likelihood that no image disturbs
-	for image, amount := range amounts {
-		quiet *= 1 - b.Suspicion(serving, image)*notice(amount)
+	images := slices.Sorted(maps.Keys(amounts))
+	quiet := 1 - chance // likelihood of a reading that is not bad
+	for _, image := range images {
+		quiet *= 1 - b.Suspicion(serving, image)*notice(amounts[image])
 	}
-	type update struct {
-		image  string
-		weight float64
-	}
-	var updates []update
-	for image, amount := range amounts {
-		n := notice(amount)
-		if n == 0 {
-			continue
-		}
-		others := quiet / (1 - b.Suspicion(serving, image)*n)
+	weights := make([]float64, len(images))
+	for i, image := range images {
+		n := notice(amounts[image])
+		others := quiet / (1 - b.Suspicion(serving, image)*n) // the same without this image
 		ratio := 1 - n
 		if bad {
 			ratio = (1 - others*(1-n)) / (1 - others)
 		}
-		updates = append(updates, update{image, weight * math.Log(ratio)})
+		weights[i] = weight * math.Log(ratio)
 	}
-	for _, u := range updates {
-		b.add(pair{serving, u.image}, u.weight)
+	for i, image := range images {
+		b.add(pair{serving, image}, weights[i])
 	}
 }
 
@@ -333,98 +335,3 @@
 		b.pairs[pair{l.Serving, l.Filling}] = &evidence{weight: l.Weight, at: now}
 	}
 }
-
-// Figures of the pace.
-const (
-	slowPace = 20 // percent; of a filling task that disturbs
-	easyPace = 40 // percent; of one that disturbs a task with little load
-	// Shares of the target above which a task is disturbed, and below which it
-	// has little load.
-	slowAbove = 0.8
-	easyBelow = 0.45
-)
-
-// Escalation for a task that stays over its target: all filling tasks of the VM
-// are slowed, then stand still. The platform allows 4 s.
-const (
-	slowAllAfter = 1200 * time.Millisecond
-	haltAllAfter = 2 * time.Second
-)
-
-// Advice is what to do with a filling task.
-type Advice struct {
-	Pace int  // percent
-	Move bool // it disturbs a task that serves: another VM is better
-}
-
-// Advise returns what to do with each filling task beside the tasks that serve.
-func (b *Book) Advise(filling []Filling, serving []Serving) []Advice {
-	out := make([]Advice, len(filling))
-	for i := range out {
-		out[i].Pace = 100
-	}
-	for _, s := range serving {
-		b.advise(out, filling, s)
-	}
-	return out
-}
-
-func (b *Book) advise(out []Advice, filling []Filling, s Serving) {
-	t := b.tasks[s.ID]
-	disturbed := t != nil && !t.falling && (s.level() > slowAbove || t.raised)
-	for i, f := range filling {
-		if !b.Disturbs(s.Image, f.Image) {
-			continue
-		}
-		out[i].Move = true
-		switch {
-		case s.level() > slowAbove || t != nil && t.raised:
-			out[i].Pace = 0
-		case s.level() > easyBelow:
-			out[i].Pace = min(out[i].Pace, slowPace)
-		default:
-			out[i].Pace = min(out[i].Pace, easyPace)
-		}
-	}
-	if !disturbed {
-		return
-	}
-	if suspect := b.suspect(filling, s); suspect >= 0 {
-		for i, f := range filling {
-			if f.Image == filling[suspect].Image {
-				out[i].Pace = min(out[i].Pace, slowPace)
-			}
-		}
-	}
-	switch over := b.overFor(t); {
-	case over >= haltAllAfter:
-		limit(out, 0)
-	case over >= slowAllAfter:
-		limit(out, slowPace)
-	}
-}
-
-// overFor returns for how long a task has been over its target.
-func (b *Book) overFor(t *served) time.Duration {
-	if t == nil || t.over.IsZero() {
-		return 0
-	}
-	return b.now.Sub(t.over)
-}
-
-func limit(advice []Advice, most int) {
-	for i := range advice {
-		advice[i].Pace = min(advice[i].Pace, most)
-	}
-}
-
-// suspect returns the index of the filling task that most likely disturbs s.
-func (b *Book) suspect(filling []Filling, s Serving) int {
-	best, highest := -1, 0.0
-	for i, f := range filling {
-		if p := b.Suspicion(s.Image, f.Image) * notice(f.amount()); p > highest {
-			best, highest = i, p
-		}
-	}
-	return best
-}
