Count evictions in the tests of takeovers

No lease lapsed and no takeover stopped a task. Ruled out: the takeover of the shards (all stops have their eviction). Change, in tests only: a task must have been started once, and once more for each eviction that its owner's record counts, task by task. Without evictions that is the check as it was; a restart by a takeover still fails it.

--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -208,3 +208,21 @@
 	}
 	return b.String()
 }
+
+// startedOnce fails if a task of a job was started more often than once and once
+// after each of its evictions: on a busy machine the feeds really are slowed, and
+// the policy moves renders away from them.
+func (c *cluster) startedOnce(entry int, job structs.Job) {
+	c.t.Helper()
+	got, err := c.Entries[entry].Entry.GetJob(c.ctx, job.ID)
+	require.NoError(c.t, err)
+	starts := map[int]int{}
+	for _, e := range c.events() {
+		if e.Kind == standinworker.EventStart && e.Task.Job == job.ID {
+			starts[e.Task.Index]++
+		}
+	}
+	for i, task := range got.Tasks {
+		require.Equal(c.t, 1+task.Evictions, starts[i], "starts of task %d, evicted %d times:\n%s", i, task.Evictions, c.history(job))
+	}
+}
--- a/internal/faults/entry_test.go
+++ b/internal/faults/entry_test.go
@@ -8,7 +8,6 @@
 
 	"vanillalock.example/vanillalock/internal/api"
 	"vanillalock.example/vanillalock/internal/demo"
-	standinworker "vanillalock.example/vanillalock/internal/standin/worker"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
@@ -43,7 +42,7 @@
 	c.running(y, feeds...)
 	c.eventually("end of the render", func() bool { return c.inState(z, render, structs.TaskDone) == 2 })
 	c.untouched(feeds...)
-	require.Equal(t, 2, c.count(standinworker.EventStart, render.ID), c.history(render))
+	c.startedOnce(z, render)
 	c.check()
 }
 
--- a/internal/faults/vm_test.go
+++ b/internal/faults/vm_test.go
@@ -53,7 +53,7 @@
 		require.NoError(t, err)
 	}
 	c.eventually("end of the render", func() bool { return c.inState(1, render, structs.TaskDone) == 3 })
-	require.Equal(t, 3, c.count(standinworker.EventStart, render.ID), c.history(render))
+	c.startedOnce(1, render)
 	c.running(2, feed)
 	c.untouched(feed)
 	c.check()
