Ignore grants from before the lapse of a lease

Cause of the hazard: an agent that has told the leader that the executor's lease has expired took a lease in answer to an older report, with starts from before the leader heard of it. The leader closes all runs of the VM on that word, so such a start ran beside the next one. Change: the reports from before the lapse no longer justify a lease; a start that comes with one is refused by the executor as late. TestGrantFromBeforeTheLapseIsIgnored fails before the change (the lease grew by 18 s).

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -180,6 +180,8 @@
 	if !a.lapsed && a.lease.expired(now.Add(-lapseMargin)) {
 		a.opts.Log.Warn("Executor's lease has expired.", "instance", a.executor.Instance)
 		a.lapsed = true
+		// The leader hears of it before it answers a later report.
+		clear(a.sent)
 		a.dropOrders()
 	}
 	a.hold(holdWait)
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -165,3 +165,22 @@
 	require.True(t, next.hold)
 	require.Zero(t, next.seen, "the look was sent before the starts got no answer")
 }
+
+// Guards against a start that the leader has given up: an agent that has said
+// that the lease has expired must not extend it by an answer to an older report,
+// which comes with orders from before the leader heard of it.
+func TestGrantFromBeforeTheLapseIsIgnored(t *testing.T) {
+	x := &scripted{calls: make(chan call, 8)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a := New(Options{Executors: x, MaxLease: 10 * time.Second, Log: log.New(io.Discard)})
+	a.executor = &fleet.Executor{Instance: "x@1", Born: bornFirst}
+	a.session = &session{outbox: make(chan *pb.Frame, outboxFrames), ctx: ctx, cancel: cancel, heard: time.Now()}
+	a.lease = lease{now: sample{clock: 0, at: time.Now().Add(-20 * time.Second)}, bound: 4 * time.Second, deadline: 4 * time.Second, known: true}
+	a.sent[7] = sentReport{a.lease.now, time.Now().Add(-time.Second)}
+	a.tick(ctx)
+	require.True(t, a.lapsed)
+	a.take(a.session, &pb.Orders{Instance: "x@1", Report: 7, LeaseMs: 4000})
+	require.Equal(t, 4*time.Second, a.lease.deadline)
+	require.True(t, a.lease.expired(time.Now()))
+}
