Keep one copy of the term's condition, of outages and of repeated work on reports

Read through the whole change; behaviour stays as it is. - Five transactions spelled out the condition on the leader's key: Leader.txn. - The void handover was told by comparing bytes, now by decoding it. - An outage of the store began where a counter passed 1, which left a moment with the start of an earlier one; its start is now one value, 0 for none. - The usual level of a group was computed for each report, now only for a new reading; a suspicion was computed twice for each image. - The lists of a plan and the troubles of a pool grew by appending; they are made at their size. - Tests: one way to start a task in the ledger's, one client of the soak's probes. Ruled out: the twins of imports and of accept loops (nothing to share), the judge's own notion of final states and reservations (it must not use the product's), one look-up of a job for State and Cancel (they differ in Retry-After).

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -10,6 +10,11 @@
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 )
 
+// txn returns a transaction that is applied only while this term lasts.
+func (l *Leader) txn() fleet.Txn {
+	return fleet.Txn{If: []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}}}
+}
+
 // commit stores the progress of jobs. One commit is under way at a time.
 func (l *Leader) commit(ctx context.Context, now time.Time) {
 	if l.committing || now.Before(l.commitAfter) {
@@ -24,7 +29,7 @@
 		l.deleteForgotten(ctx)
 		return
 	}
-	txn := fleet.Txn{If: []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}}}
+	txn := l.txn()
 	for _, r := range records {
 		key := fleet.ProgressBase + r.Job
 		txn.If = append(txn.If, fleet.Condition{Key: key, Revision: r.Revision})
@@ -78,7 +83,7 @@
 	if n == 0 {
 		return
 	}
-	txn := fleet.Txn{If: []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}}}
+	txn := l.txn()
 	for _, id := range l.removing[:n] {
 		txn.Delete = append(txn.Delete, fleet.JobBase+id, fleet.CancelBase+id, fleet.ProgressBase+id)
 	}
@@ -105,7 +110,8 @@
 		if link == nil || link.up || len(n.Runs) > 0 || now.Sub(maxTime(n.Heard, l.began)) < goneAfter || now.Before(n.LeaseUntil) {
 			continue
 		}
-		txn := fleet.Txn{If: []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}}, Delete: []string{fleet.NodeBase + name}}
+		txn := l.txn()
+		txn.Delete = []string{fleet.NodeBase + name}
 		go func() {
 			if _, err := l.opts.Store.Commit(ctx, txn); err != nil {
 				l.opts.Log.Warn("Registration not removed.", "vm", name, "err", err)
--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -131,20 +130,23 @@
 	return nil
 }
 
-// noHandover is the record during a term.
+// noHandover is the record during a term, an empty one.
 var noHandover = []byte("null")
 
 // predecessor returns what may be left of earlier leaders.
 func (e *Entry) predecessor(handover fleet.Item, term uint64) predecessor {
 	p := predecessor{lease: lasting(e.opts.MaxLease)}
-	if handover.Revision == 0 || bytes.Equal(handover.Value, noHandover) {
+	if handover.Revision == 0 {
 		return p
 	}
-	var record link.Handover
+	var record *link.Handover
 	if err := json.Unmarshal(handover.Value, &record); err != nil {
 		e.opts.Log.Error("Handover is not readable.", "err", err)
 		return p
 	}
+	if record == nil { // the leader has not stepped down
+		return p
+	}
 	p.lease = min(p.lease, time.Duration(record.LeaseMs)*time.Millisecond)
 	if record.Alone {
 		p.exclusive = term
@@ -162,11 +164,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
 	defer cancel()
-	_, err = e.opts.Store.Commit(ctx, fleet.Txn{
-		If:     []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}},
-		Put:    []fleet.Write{{Key: fleet.HandoverKey, Value: value}},
-		Delete: []string{fleet.LeaderKey},
-	})
+	txn := l.txn()
+	txn.Put = []fleet.Write{{Key: fleet.HandoverKey, Value: value}}
+	txn.Delete = []string{fleet.LeaderKey}
+	_, err = e.opts.Store.Commit(ctx, txn)
 	var conflict *fleet.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
 		e.opts.Log.Warn("Leadership not handed over.", "term", l.term, "err", err)
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -75,7 +75,8 @@
 		return
 	}
 	l.learned = value
-	txn := fleet.Txn{If: []fleet.Condition{{Key: fleet.LeaderKey, Revision: l.term}}, Put: []fleet.Write{{Key: fleet.LearnedKey, Value: value}}}
+	txn := l.txn()
+	txn.Put = []fleet.Write{{Key: fleet.LearnedKey, Value: value}}
 	go func() {
 		if _, err := l.opts.Store.Commit(ctx, txn); err != nil && ctx.Err() == nil {
 			l.opts.Log.Warn("What was learned of images not stored.", "err", err)
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -187,8 +187,8 @@
 
 // vms returns the VMs that may take tasks.
 func (p *planner) vms(now time.Time) ([]*place.VM, []*ledger.Node) {
-	var vms []*place.VM
-	var nodes []*ledger.Node
+	vms := make([]*place.VM, 0, len(p.ledger.Nodes))
+	nodes := make([]*ledger.Node, 0, len(p.ledger.Nodes))
 	for name, n := range p.ledger.Nodes {
 		if !n.Listed || now.Sub(n.ListedAt) > listsFresh || n.Executor.Draining {
 			continue
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -37,7 +37,7 @@
 	relay func(ctx context.Context, call storeCall) (storeReply, error)
 	avoid atomic.Int64 // until then, in ns of the process's own clock, the store is not called directly
 	lost  atomic.Int64 // calls in a row that got no answer on any way
-	since atomic.Int64 // when the first of them ended, in ns of the process's own clock
+	since atomic.Int64 // when the first of them ended, in ns of the process's own clock; 0: there is none
 }
 
 // isDown reports whether the store is out of reach.
@@ -45,10 +45,11 @@
 
 // outage returns for how long the store has been out of reach, or 0.
 func (r *relayStore) outage() time.Duration {
-	if r.lost.Load() == 0 {
+	since := r.since.Load()
+	if since == 0 {
 		return 0
 	}
-	return time.Duration(sinceStart() - r.since.Load())
+	return time.Duration(sinceStart() - since)
 }
 
 // storeCall is a call to the store in the form in which it is relayed.
@@ -90,10 +91,10 @@
 	switch {
 	case !isOutage(err):
 		r.lost.Store(0)
+		r.since.Store(0)
 	case ctx.Err() == nil:
-		if r.lost.Add(1) == 1 {
-			r.since.Store(sinceStart())
-		}
+		r.lost.Add(1)
+		r.since.CompareAndSwap(0, sinceStart())
 	}
 	return reply, err
 }
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -63,6 +63,11 @@
 	w.ledger.Stored(records, 7)
 }
 
+// start orders a run of the first ready task.
+func (w *world) start(node string) {
+	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node(node), "", w.now)
+}
+
 func one() fleet.Step {
 	return fleet.Step{Count: 1, Need: structs.Resources{MilliCPU: 1000, MemoryMB: 100}}
 }
@@ -105,7 +110,7 @@
 	id := taskOf("job")
 	w.add("job", false, one())
 	w.list("a", nil)
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	failed := w.end("a", id, 1, fleet.EndFailed)
 	w.list("a", nil, failed)
 	records, err := w.ledger.Dirty(10)
@@ -147,7 +152,7 @@
 	w.list("a", nil)
 	w.list("b", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.node("a").LeaseUntil = start.Add(4 * time.Second)
 	w.ledger.Disconnected(w.node("a"))
 	w.now = start.Add(3900 * time.Millisecond)
@@ -165,7 +170,7 @@
 	w.list("a", nil)
 	w.list("b", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	id := taskOf("job")
 	e := w.node("a").Executor
 	w.ledger.Report(w.node("a"), Report{Executor: &e, Results: []Result{{Task: id, Run: 1, Result: fleet.OrderRevoked}}}, w.now)
@@ -184,7 +189,7 @@
 	w := newWorld(t, "a")
 	w.list("a", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	e := w.node("a").Executor
 	w.ledger.Report(w.node("a"), Report{Executor: &e, Results: []Result{{Task: taskOf("job"), Run: 1, Result: fleet.OrderOld}}}, w.now)
 	w.list("a", nil)
@@ -200,7 +205,7 @@
 	w := newWorld(t, "a")
 	w.list("a", nil)
 	job := w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.list("a", nil, w.end("a", taskOf("job"), 1, fleet.EndDone))
 	orders, _ := w.node("a").TakeOrders()
 	require.Zero(t, orders.Stored)
@@ -253,7 +258,7 @@
 	w := newWorld(t, "a")
 	w.list("a", nil)
 	job := w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.node("a").TakeOrders()
 	require.True(t, w.ledger.Cancel("job", w.now))
 	require.Equal(t, Cancelled, job.Shown())
@@ -270,7 +275,7 @@
 	w := newWorld(t, "a")
 	w.list("a", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Results: []Result{{Task: taskOf("job"), Run: 1, Result: fleet.OrderDone}}}, w.now)
 	w.list("a", runningOf(taskOf("job"), 1))
 	w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: "a@2"}, Listed: true}, w.now)
@@ -285,7 +290,7 @@
 	w.list("a", nil)
 	w.list("b", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.node("a").TakeOrders()
 	e := &fleet.Executor{Instance: "a@2"}
 	w.ledger.Report(w.node("a"), Report{Executor: e}, w.now)
@@ -304,7 +309,7 @@
 	w := newWorld(t, "a")
 	w.list("a", nil)
 	w.add("job", false, one())
-	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+	w.start("a")
 	w.node("a").TakeOrders()
 	w.ledger.Disconnected(w.node("a"))
 	w.list("a", nil)
@@ -397,7 +402,7 @@
 		w := newWorld(t, "a")
 		w.list("a", nil)
 		w.add("job", false, one())
-		w.ledger.Start(w.ledger.Ready(w.now)[0], w.node("a"), "", w.now)
+		w.start("a")
 		w.ledger.RemoveNode("a")
 		require.Empty(t, w.ready(), "it may run")
 		if back {
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -94,6 +94,9 @@
 func MarkUsualTrouble(vms []*VM) {
 	pools := map[string][]float64{}
 	for _, vm := range vms {
+		if pools[vm.Pool] == nil {
+			pools[vm.Pool] = make([]float64, 0, len(vms))
+		}
 		pools[vm.Pool] = append(pools[vm.Pool], vm.Trouble)
 	}
 	for _, troubles := range pools {
--- a/internal/fleet/tail/pace.go
+++ b/internal/fleet/tail/pace.go
@@ -39,14 +39,14 @@
 
 func (b *Book) advise(out []Advice, filling []Filling, s Serving) {
 	t := b.tasks[s.ID]
-	disturbed := t != nil && !t.falling && (s.level() > slowAbove || t.raised)
+	tooHigh := s.level() > slowAbove || t != nil && t.raised
 	for i, f := range filling {
 		if !b.Disturbs(s.Image, f.Image) {
 			continue
 		}
 		out[i].Move = true
 		switch {
-		case s.level() > slowAbove || t != nil && t.raised:
+		case tooHigh:
 			out[i].Pace = 0
 		case s.level() > easyBelow:
 			out[i].Pace = min(out[i].Pace, slowPace)
@@ -54,7 +54,7 @@
 			out[i].Pace = min(out[i].Pace, easyPace)
 		}
 	}
-	if !disturbed {
+	if t == nil || t.falling || !tooHigh {
 		return
 	}
 	if suspect := b.suspect(filling, s); suspect >= 0 {
@@ -74,7 +74,7 @@
 
 // overFor returns for how long a task has been over its target.
 func (b *Book) overFor(t *served) time.Duration {
-	if t == nil || t.over.IsZero() {
+	if t.over.IsZero() {
 		return 0
 	}
 	return b.now.Sub(t.over)
--- a/internal/fleet/tail/tail.go
+++ b/internal/fleet/tail/tail.go
@@ -190,17 +190,24 @@
 	usual := map[string]float64{} // by group; 0: not known
 	for _, s := range serving {
 		same[s.Image]++
-		if _, known := usual[s.Group]; !known {
-			usual[s.Group] = b.usual(s.Group)
-		}
 	}
 	for _, s := range serving {
-		if s.level() > 0 {
-			b.reading(vm, s, filling, usual[s.Group], 1/same[s.Image])
+		if s.level() == 0 || !b.isNew(s) {
+			continue
+		}
+		if _, known := usual[s.Group]; !known {
+			usual[s.Group] = b.usual(s.Group)
 		}
+		b.reading(vm, s, filling, usual[s.Group], 1/same[s.Image])
 	}
 }
 
+// isNew reports whether the reading of a task may say something new.
+func (b *Book) isNew(s Serving) bool {
+	t := b.tasks[s.ID]
+	return t == nil || b.now.Sub(t.read) >= readingEvery
+}
+
 // reading takes in the newest reading of a task, whose group is at its usual
 // level, or 0 if that is not known.
 func (b *Book) reading(vm string, s Serving, filling []Filling, usual, weight float64) {
@@ -209,9 +216,6 @@
 		t = &served{}
 		b.tasks[s.ID] = t
 	}
-	if b.now.Sub(t.read) < readingEvery {
-		return
-	}
 	level, wasRaised := s.level(), t.raised
 	if usual == 0 {
 		usual = t.usual
@@ -277,14 +281,16 @@
 		}
 	}
 	images := slices.Sorted(maps.Keys(amounts))
-	quiet := 1 - chance // likelihood of a reading that is not bad
-	for _, image := range images {
-		quiet *= 1 - b.Suspicion(serving, image)*notice(amounts[image])
+	quiet := 1 - chance                    // likelihood of a reading that is not bad
+	silent := make([]float64, len(images)) // the same as far as one image goes
+	for i, image := range images {
+		silent[i] = 1 - b.Suspicion(serving, image)*notice(amounts[image])
+		quiet *= silent[i]
 	}
 	weights := make([]float64, len(images))
 	for i, image := range images {
 		n := notice(amounts[image])
-		others := quiet / (1 - b.Suspicion(serving, image)*n) // the same without this image
+		others := quiet / silent[i]
 		ratio := 1 - n
 		if bad {
 			ratio = (1 - others*(1-n)) / (1 - others)
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -22,6 +22,11 @@
 	return w.version
 }
 
+// newProbe returns a client whose calls do not share a connection.
+func newProbe() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // knows reports whether an entry shows the queue of a version.
 func (w *world) knows(client *http.Client, p *process, version uint64) bool {
 	req, err := http.NewRequestWithContext(w.ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", p.ip, wire.FrontPort, versionPath(version)), nil)
@@ -48,7 +53,7 @@
 // watchVersions checks that no entry goes back to an earlier configuration within
 // one life of its process.
 func (w *world) watchVersions(p *process) {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newProbe()
 	newest, life := uint64(0), 0
 	for ; w.ctx.Err() == nil; fleet.Pause(w.ctx, probeEvery) {
 		if now := p.life(); now != life {
@@ -69,7 +74,7 @@
 
 // behind returns the entries that do not have the newest configuration.
 func (w *world) behind() []string {
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newProbe()
 	version := w.currentVersion()
 	var out []string
 	for _, p := range w.entries {
