agent: report ends once in a session, and hold less often while they wait

Cause: an executor answers a hold at once while ends are not acknowledged, and the agent reported the whole lists after each, every 15 ms.

Ruled out: ends as such (720 a second), the lists' size (9 runs a VM).

A report that cannot be decoded ends the session, since its ends are not repeated within it.

--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -146,7 +146,8 @@
 	}
 	report, err := link.ReadReport(m)
 	if err != nil {
-		l.opts.Log.Error("Cannot decode the report of an agent.", "vm", name, "err", err)
+		l.opts.Log.Error("Cannot decode the report of an agent, session closed.", "vm", name, "err", err)
+		n.cancel() // the agent reports its ends again in the next session
 		return
 	}
 	now := time.Now()
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -25,8 +25,12 @@
 
 // Timing and buffer sizes of the agent.
 const (
-	holdWait              = 400 * time.Millisecond // longest hold when no run ends; a lease of 4 s is renewed 10 times
-	unackedHoldDelay      = 15 * time.Millisecond  // before the next hold while ends are unacknowledged, as such a hold returns at once; about the time of a commit to the store
+	holdWait = 400 * time.Millisecond // longest hold when no run ends; a lease of 4 s is renewed 10 times
+	// A hold returns at once while ends are unacknowledged. The delay before the
+	// next one starts at about the time of a commit to the store and doubles while
+	// the holds show nothing new.
+	minUnackedHoldDelay   = 15 * time.Millisecond
+	maxUnackedHoldDelay   = 200 * time.Millisecond
 	holdRetryDelay        = 200 * time.Millisecond // after an unanswered hold
 	orderRetryDelay       = 80 * time.Millisecond  // after an unanswered order
 	expiryMargin          = 100 * time.Millisecond // allowance for timers that fire late
@@ -66,6 +70,7 @@
 	reportNumber uint64                // of the latest report
 	sentReports  map[uint64]sentReport // by report number, for the grants that answer them
 	holdInFlight bool                  // a hold of this generation is in flight
+	unackedDelay time.Duration         // before the next hold while ends are unacknowledged
 	orders       map[ledger.RunRef]*order
 	holdTimer    *time.Timer
 
@@ -93,11 +98,12 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	lastReceived time.Time
+	reported     reportedLists
 }
 
 // New returns an Agent that does nothing until Run.
 func New(o Options) *Agent {
-	return &Agent{opts: o, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{}, orders: map[ledger.RunRef]*order{}}
+	return &Agent{opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{}, orders: map[ledger.RunRef]*order{}}
 }
 
 // Run serves until ctx ends.
@@ -168,6 +174,9 @@
 	a.executor = &e
 	a.instanceUncertain.Store(false)
 	a.nextGeneration()
+	if a.session != nil {
+		a.session.reported = reportedLists{}
+	}
 	a.lease, a.lapsed, a.executorLeft, a.ackedEnd, a.lastListedEnd = lease{}, false, false, 0, 0
 	clear(a.sentReports)
 	a.cancelOrders()
@@ -268,14 +277,30 @@
 	for _, end := range lists.Ended {
 		a.lastListedEnd = max(a.lastListedEnd, end.Number)
 	}
-	a.report(ledger.Report{Listed: true, Running: lists.Running, Ended: lists.Ended, Results: a.completeListedStarts(lists)})
+	a.reportLists(lists)
 	if a.lastListedEnd > a.ackedEnd {
-		a.scheduleHold(unackedHoldDelay)
+		a.scheduleHold(a.unackedDelay)
+		a.unackedDelay = min(2*a.unackedDelay, maxUnackedHoldDelay)
 		return
 	}
 	a.hold(holdWait)
 }
 
+// reportLists reports the lists of the executor, unless the session has brought
+// them to the leader already. Ends are reported once in a session.
+func (a *Agent) reportLists(lists fleet.RunLists) {
+	results := a.completeListedStarts(lists)
+	now := time.Now()
+	ended, news := a.session.reported.update(lists, now)
+	if len(ended) > 0 {
+		a.unackedDelay = minUnackedHoldDelay
+	}
+	if news || len(results) > 0 {
+		a.session.reported.at = now
+		a.report(ledger.Report{Listed: true, Running: lists.Running, Ended: ended, Results: results})
+	}
+}
+
 func (a *Agent) handleHoldError(e fleet.Executor, err error) {
 	if s := a.session; s != nil && s.ctx.Err() == nil {
 		a.opts.Log.Warn("Executor does not answer.", "instance", e.Instance, "err", err)
@@ -426,7 +451,7 @@
 		a.lease.extend(sent.reading, sent.sentAt, time.Duration(m.GetLeaseMs())*time.Millisecond)
 	}
 	if orders.Stored > a.ackedEnd {
-		a.ackedEnd = orders.Stored
+		a.ackedEnd, a.unackedDelay = orders.Stored, minUnackedHoldDelay
 		if a.lastListedEnd <= a.ackedEnd {
 			a.hold(holdWait)
 		}
