lead, ledger, place: let the leader's work follow what changed

Cause: after each report the leader planned the whole fleet, scored every VM for every waiting task, visited every agent and every job, and had one commit of 15 jobs in flight.

Loop delay, plan time and bytes of orders and reports are on the metrics address. A second done end of a task no longer counts its step down twice, and negative task numbers in a record no longer end the process.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -16,27 +16,34 @@
 }
 
 // commit stores the changed progress of jobs, or deletes records if none has
-// changed. One commit is in flight at a time.
+// changed. A further commit starts while others are in flight only with a full
+// transaction: so ends share transactions, and a slow answer delays no other job.
 func (l *Leader) commit(ctx context.Context, now time.Time) {
-	if l.committing || now.Before(l.commitAfter) {
-		return
-	}
-	records, err := l.ledger.Dirty(maxRecords)
-	if err != nil {
-		l.opts.Log.Error("Progress not stored.", "err", err)
-		return
-	}
-	if len(records) == 0 {
-		l.deleteExpired(ctx)
-		return
+	for l.commits < maxCommits && !now.Before(l.commitAfter) {
+		if l.commits > 0 && l.ledger.Unstored() < maxRecords {
+			return
+		}
+		records, err := l.ledger.Dirty(maxRecords)
+		if err != nil {
+			l.opts.Log.Error("Progress not stored.", "err", err)
+		}
+		if len(records) == 0 {
+			l.deleteExpired(ctx)
+			return
+		}
+		l.commitRecords(ctx, records)
 	}
+}
+
+// commitRecords stores records of the ledger in the background.
+func (l *Leader) commitRecords(ctx context.Context, records []ledger.Record) {
 	txn := l.txn()
 	for _, r := range records {
 		key := fleet.ProgressBase + r.Job
 		txn.If = append(txn.If, fleet.Condition{Key: key, Revision: r.Revision})
 		txn.Put = append(txn.Put, fleet.Write{Key: key, Value: r.Value})
 	}
-	l.committing = true
+	l.commits++
 	go func() {
 		sent := time.Now()
 		revision, err := l.opts.Store.Commit(ctx, txn)
@@ -46,19 +53,21 @@
 
 // handleCommit handles the result of a commit that was sent at the given time.
 func (l *Leader) handleCommit(sent time.Time, records []ledger.Record, revision uint64, err error) {
-	l.committing = false
+	l.commits--
 	l.opts.Metrics.Commit.Observe(time.Since(sent))
 	var conflict *fleet.ConflictError
 	switch {
 	case err == nil:
 		l.verifiedAt = maxTime(l.verifiedAt, sent)
 		l.ledger.Stored(records, revision)
+		return
 	case errors.As(err, &conflict):
 		l.handleConflict(records, conflict)
 	default:
 		l.opts.Log.Warn("Progress not stored, trying again.", "jobs", len(records), "err", err)
 		l.commitAfter = time.Now().Add(commitRetry)
 	}
+	l.ledger.NotStored(records)
 }
 
 // handleConflict handles a commit whose conditions did not hold. Either the term has
@@ -84,18 +93,18 @@
 func (l *Leader) deleteExpired(ctx context.Context) {
 	const keysPerJob = 3
 	n := min(len(l.expiredJobs), (fleet.MaxTxn-1)/keysPerJob)
-	if n == 0 {
+	if n == 0 || l.commits > 0 {
 		return
 	}
 	txn := l.txn()
 	for _, id := range l.expiredJobs[:n] {
 		txn.Delete = append(txn.Delete, fleet.JobBase+id, fleet.CancelBase+id, fleet.ProgressBase+id)
 	}
-	l.committing = true
+	l.commits++
 	go func() {
 		_, err := l.opts.Store.Commit(ctx, txn)
 		l.post(ctx, func() {
-			l.committing = false
+			l.commits--
 			if err != nil {
 				l.opts.Log.Warn("Records of old jobs not removed.", "jobs", n, "err", err)
 				l.commitAfter = time.Now().Add(commitRetry)
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -30,6 +30,7 @@
 	commitRetry         = 100 * time.Millisecond
 	watchWait           = 5 * time.Second
 	watchRetry          = 300 * time.Millisecond
+	pageRetry           = 100 * time.Millisecond
 	maintenanceInterval = 3 * time.Second
 	// removeNodeAfter is how long the agent of a VM without a lease may be unreachable
 	// before its registration is removed. An agent that is alive registers again.
@@ -44,6 +45,10 @@
 // and a write, in addition to the condition on the leader's key.
 const maxRecords = (fleet.MaxTxn - 1) / 2
 
+// maxCommits is the largest number of commits in flight. At 5 ms each they store
+// the progress of 12,000 jobs a second.
+const maxCommits = 4
+
 // errDeposed means that another leader has been elected, or may have been.
 var errDeposed = errors.New("no longer the leader")
 
@@ -67,15 +72,16 @@
 	opts        Options
 	term        uint64 // revision of the leader's key; a later leader has a higher one
 	lease       uint64 // of the leader's key
-	events      chan func()
+	events      chan event
 	ledger      *ledger.Ledger
 	links       map[string]*nodeLink
 	planner     planner
+	pacer       *pacer
 	verifiedAt  time.Time // send time of the latest call that confirmed the term
 	began       time.Time
 	predecessor predecessor
 
-	committing      bool
+	commits         int // in flight
 	commitAfter     time.Time
 	lastMaintenance time.Time
 	deposed         error
@@ -94,7 +100,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan func(), eventBacklog), links: map[string]*nodeLink{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), links: map[string]*nodeLink{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 	}
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, Attempts: l.attempts, Log: l.logEvent})
@@ -129,13 +135,13 @@
 func (l *Leader) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go l.verify(ctx)
 	revision, err := l.load(ctx)
 	if err != nil {
 		return fmt.Errorf("load the state: %w", err)
 	}
 	l.opts.Log.Info("Leading.", "term", l.term, "jobs", len(l.ledger.Jobs), "vms", len(l.ledger.Nodes), "loaded", time.Since(l.began), "earlier leases", l.predecessor.maxLease)
 	go l.watch(ctx, revision)
-	go l.verify(ctx)
 	for name, link := range l.links {
 		go link.run(ctx, l, name)
 	}
@@ -145,11 +151,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case f := <-l.events:
-			f()
+		case e := <-l.events:
+			l.handle(e)
 			l.drainEvents()
 		case <-ticker.C:
 			l.tick(ctx)
+		case <-l.pacer.timer.C:
 		}
 		l.dispatch(ctx)
 	}
@@ -168,18 +175,29 @@
 func (l *Leader) drainEvents() {
 	for {
 		select {
-		case f := <-l.events:
-			f()
+		case e := <-l.events:
+			l.handle(e)
 		default:
 			return
 		}
 	}
 }
 
+// event is a function to run in the event loop.
+type event struct {
+	run    func()
+	posted time.Time
+}
+
+func (l *Leader) handle(e event) {
+	l.opts.Metrics.Loop.Observe(time.Since(e.posted))
+	e.run()
+}
+
 // post queues f to run in the event loop. It returns false if ctx ends first.
 func (l *Leader) post(ctx context.Context, f func()) bool {
 	select {
-	case l.events <- f:
+	case l.events <- event{f, time.Now()}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -225,14 +243,20 @@
 	}
 }
 
+// checkTerm ends a term that the store has not confirmed for the longest lease.
+func (l *Leader) checkTerm(now time.Time) {
+	if now.Sub(l.verifiedAt) > l.opts.MaxLease {
+		l.depose(fmt.Errorf("%w: the store has not confirmed the term for %v", errDeposed, now.Sub(l.verifiedAt).Round(time.Millisecond)))
+	}
+}
+
 // tick does the periodic work, and ends a term that the store has not confirmed in
 // time.
 func (l *Leader) tick(ctx context.Context) {
 	now := time.Now()
 	l.ledger.Tick(now)
 	l.ledger.ReleaseDue(time.Now(), now)
-	if now.Sub(l.verifiedAt) > l.opts.MaxLease {
-		l.depose(fmt.Errorf("%w: the store has not confirmed the term for %v", errDeposed, now.Sub(l.verifiedAt).Round(time.Millisecond)))
+	if l.checkTerm(now); l.deposed != nil {
 		return
 	}
 	if now.Sub(l.lastMaintenance) > maintenanceInterval {
@@ -249,16 +273,19 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(l.verifiedAt) < startGrace {
+	if now.Sub(l.verifiedAt) < startGrace && l.pacer.due(now) {
 		l.planner.plan(now)
+		l.pacer.done(now, time.Now())
+		l.opts.Metrics.Plan.Observe(time.Since(now))
+		now = time.Now()
 	}
-	for name, link := range l.links {
-		n := l.ledger.Nodes[name]
-		if !link.connected || n == nil || !n.Listed {
-			continue
+	for _, n := range l.ledger.TakePending() {
+		link := l.links[n.Name]
+		if link == nil || !link.connected || l.ledger.Nodes[n.Name] != n || !n.Listed {
+			continue // the first lists of a session make it pending again
 		}
 		if orders, some := n.TakeOrders(); some || link.pendingReport > 0 {
-			link.send(orders, l.grant(n, link, now))
+			link.send(orders, l.grant(n, link, now), l.opts.Metrics)
 		}
 	}
 	l.commit(ctx, now)
--- a/internal/fleet/lead/metrics.go
+++ b/internal/fleet/lead/metrics.go
@@ -11,14 +11,23 @@
 type Metrics struct {
 	set    *obs.Metrics
 	Commit *obs.Latency // of progress to the store
+	Plan   *obs.Latency // duration of a plan
+	Loop   *obs.Latency // from the arrival of an event at the leader's loop to its handling
 	Submit *obs.Latency // of submissions, measured at the entry
 	State  *obs.Latency // of requests for the state of a job
+
+	OrderBytes  obs.Counter // of frames to agents
+	Reports     obs.Counter // of agents
+	ReportBytes obs.Counter
 }
 
 // NewMetrics returns the metrics of an entry, published under the given name.
 func NewMetrics(name string) *Metrics {
 	set := obs.NewMetrics(name)
-	return &Metrics{set: set, Commit: set.Latency("commit"), Submit: set.Latency("submit"), State: set.Latency("state")}
+	return &Metrics{
+		set: set, OrderBytes: set.Counter("order_bytes"), Reports: set.Counter("reports"), ReportBytes: set.Counter("report_bytes"),
+		Commit: set.Latency("commit"), Plan: set.Latency("plan"), Loop: set.Latency("loop_delay"), Submit: set.Latency("submit"), State: set.Latency("state"),
+	}
 }
 
 // count counts an event of the ledger by its kind.
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
@@ -52,9 +54,11 @@
 
 // send queues orders, with a lease if it is not 0. If the queue is full it ends the
 // session; the agent gets the missed orders in the next one.
-func (n *nodeLink) send(o ledger.Orders, lease time.Duration) {
+func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
+	frame := link.Orders(o, n.pendingReport, lease)
+	m.OrderBytes.Add(int64(proto.Size(frame)))
 	select {
-	case n.outbox <- link.Orders(o, n.pendingReport, lease):
+	case n.outbox <- frame:
 	default:
 		n.cancel()
 	}
@@ -121,6 +125,8 @@
 			return
 		}
 		if report := frame.GetNodeReport(); report != nil {
+			l.opts.Metrics.Reports.Add(1)
+			l.opts.Metrics.ReportBytes.Add(int64(proto.Size(report)))
 			l.post(ctx, func() { l.handleReport(n, name, report) })
 		}
 	}
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -35,6 +35,9 @@
 	// preemptInterval is the minimum interval between preemptions: a stop takes up
 	// to a second.
 	preemptInterval = 300 * time.Millisecond
+	// maxPreemptSearches bounds the searches of one plan for tasks to preempt: each
+	// looks at every run of the fleet.
+	maxPreemptSearches = 8
 	// clearInterval is the minimum interval between moves of lasting tasks off the
 	// VMs kept for filling tasks.
 	clearInterval    = 700 * time.Millisecond
@@ -68,7 +71,7 @@
 // a VM.
 func (p *planner) plan(now time.Time) {
 	p.evictDraining()
-	ready := p.ledger.Ready(now)
+	ready := p.ledger.ReadySteps(now)
 	if len(ready) == 0 && len(p.toMove) == 0 {
 		return
 	}
@@ -79,50 +82,66 @@
 	}
 	p.clearFillingOnly(vms, nodes, now)
 	p.moveRuns(vms, now)
-	if len(vms) == 0 || len(ready) == 0 {
+	if len(vms) == 0 {
 		return
 	}
 	p.sortReady(ready)
-	full := map[*ledger.Step]bool{} // steps with a task that fits on no VM; their other tasks are skipped
-	for _, t := range ready {
-		if full[t.Step] {
+	failed := place.Failed{}
+	searches := 0
+	for _, r := range ready {
+		left := p.startTasks(r, vms, nodes, failed, now)
+		if left == nil || left.Fills || searches == maxPreemptSearches {
 			continue
 		}
+		searches++
+		p.preempt(left, r.Step, vms, nodes, now)
+	}
+}
+
+// startTasks starts the ready tasks of a step until one of them fits on no VM. It
+// returns that one, or nil.
+func (p *planner) startTasks(r ledger.ReadyStep, vms []*place.VM, nodes []*ledger.Node, failed place.Failed, now time.Time) *place.Task {
+	var ranking *place.Ranking
+	var ranked place.Task // the task that ranking is for
+	use := expectedUse(r.Step.Spec)
+	for _, t := range r.Tasks {
 		task := p.describeTask(t, now)
-		i := place.Choose(&task, vms, p.estimator.DisturbanceProbability)
-		if i < 0 {
-			full[t.Step] = true
-			if !task.Fills {
-				p.preempt(&task, t, vms, nodes, now)
+		if ranking == nil || task != ranked {
+			if failed.Covers(&task) {
+				return &task
 			}
-			continue
+			ranked = task
+			ranking = place.Rank(&ranked, vms, p.estimator.DisturbanceProbability)
+		}
+		i := ranking.Take(use)
+		if i < 0 {
+			failed.Add(&task)
+			return &task
 		}
-		vms[i].Take(&task, expectedUse(t.Step.Spec))
 		p.ledger.Start(t, nodes[i], "", now)
 	}
+	return nil
 }
 
-// sortReady sorts tasks by the priority of their queues, then by the acceptance time
+// sortReady sorts steps by the priority of their queues, then by the acceptance time
 // of their jobs.
-func (p *planner) sortReady(ready []*ledger.Task) {
-	priority := map[*ledger.Job]int{}
-	for _, t := range ready {
-		if _, known := priority[t.Step.Job]; !known {
-			priority[t.Step.Job] = p.policy(t.Step.Job).Priority
-		}
+func (p *planner) sortReady(ready []ledger.ReadyStep) {
+	priority := make(map[*ledger.Job]int, len(ready))
+	for _, r := range ready {
+		priority[r.Step.Job] = p.policy(r.Step.Job).Priority
 	}
-	slices.SortStableFunc(ready, func(a, b *ledger.Task) int {
+	slices.SortStableFunc(ready, func(a, b ledger.ReadyStep) int {
 		return cmp.Or(cmp.Compare(priority[a.Step.Job], priority[b.Step.Job]), a.Step.Job.Accepted.Compare(b.Step.Job.Accepted))
 	})
 }
 
 // preempt stops filling tasks of lower priority to free the memory that a task
 // needs, on the VM where the fewest have to be stopped.
-func (p *planner) preempt(task *place.Task, t *ledger.Task, vms []*place.VM, nodes []*ledger.Node, now time.Time) {
+func (p *planner) preempt(task *place.Task, step *ledger.Step, vms []*place.VM, nodes []*ledger.Node, now time.Time) {
 	if now.Sub(p.lastPreemption) < preemptInterval {
 		return
 	}
-	priority := p.policy(t.Step.Job).Priority
+	priority := p.policy(step.Job).Priority
 	var best []*ledger.Run
 	for i, vm := range vms {
 		runs := p.victims(task, vm, nodes[i], priority)
@@ -131,7 +150,7 @@
 		}
 	}
 	for _, r := range best {
-		p.ledger.Stop(r, "preempted by "+t.ID.String())
+		p.ledger.Stop(r, "preempted by a task of "+step.Job.ID)
 		p.lastPreemption = now
 	}
 }
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -126,6 +126,9 @@
 	revision               uint64
 	finalVersion           uint64 // version with the final state
 	doneOccurrences        int
+	unstored               bool               // queued in Ledger.unstored
+	storing                bool               // a record of it is out, until Stored or NotStored
+	endedOn                map[*Node]struct{} // nodes with ends that wait for the progress to be stored
 }
 
 // Node is a VM with its executor.
@@ -208,6 +211,8 @@
 	log         func(Event)
 	scheduled   []*Occurrence      // of jobs that repeat, not due yet, by due time
 	openSteps   map[*Step]struct{} // steps whose tasks may start
+	unstored    []*Job             // jobs with progress to be stored, longest first
+	pending     map[*Node]struct{} // nodes with a report, orders or acknowledgements since the last TakePending
 }
 
 // Options configure a Ledger.
@@ -225,7 +230,7 @@
 func New(o Options) *Ledger {
 	return &Ledger{
 		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease,
-		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{},
+		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 	}
 }
 
@@ -353,7 +358,7 @@
 // finish sets the final state of a job and stops its runs.
 func (l *Ledger) finish(job *Job, state JobState, now time.Time) {
 	job.Final, job.FinalAt = state, now
-	job.version++
+	l.progressChanged(job)
 	job.finalVersion = job.version
 	l.log(Event{What: "job final", Task: fleet.TaskID{Job: job.ID}, Reason: string(state)})
 	for _, occ := range job.Occurrences {
@@ -393,24 +398,47 @@
 	return n
 }
 
-// Ready returns the tasks that may be started now, in the order in which they
-// became ready.
+// Ready returns the tasks that may be started now, step by step: the steps in the
+// order in which they became ready, and so their tasks.
 func (l *Ledger) Ready(now time.Time) []*Task {
 	var ready []*Task
+	for _, s := range l.ReadySteps(now) {
+		ready = append(ready, s.Tasks...)
+	}
+	return ready
+}
+
+// ReadyStep is a step with tasks that may be started now.
+type ReadyStep struct {
+	Step  *Step
+	Tasks []*Task // in the order in which they became ready
+}
+
+// ReadySteps returns the steps with tasks that may be started now, in the order in
+// which their first tasks became ready.
+func (l *Ledger) ReadySteps(now time.Time) []ReadyStep {
+	var steps []ReadyStep
 	for s := range l.openSteps {
 		if s.Job.Inherited && !l.Settled {
 			continue
 		}
+		var tasks []*Task
 		for _, t := range s.Tasks {
 			if t.Current == nil && !t.Done && !t.NotBefore.After(now) {
-				ready = append(ready, t)
+				tasks = append(tasks, t)
 			}
 		}
+		if len(tasks) == 0 {
+			continue
+		}
+		slices.SortStableFunc(tasks, func(a, b *Task) int { return a.ReadySince.Compare(b.ReadySince) })
+		steps = append(steps, ReadyStep{s, tasks})
 	}
-	slices.SortFunc(ready, func(a, b *Task) int {
-		return cmp.Or(a.ReadySince.Compare(b.ReadySince), cmp.Compare(a.ID.Job, b.ID.Job), cmp.Compare(a.ID.Step, b.ID.Step), cmp.Compare(a.ID.Index, b.ID.Index))
+	slices.SortFunc(steps, func(a, b ReadyStep) int {
+		return cmp.Or(a.Tasks[0].ReadySince.Compare(b.Tasks[0].ReadySince), cmp.Compare(a.Step.Job.ID, b.Step.Job.ID),
+			cmp.Compare(a.Step.Occurrence.Number, b.Step.Occurrence.Number), cmp.Compare(a.Step.Index, b.Step.Index))
 	})
-	return ready
+	return steps
 }
 
 // Start orders a run of a task on a node. The ticket, if any, is passed to the
@@ -422,6 +450,7 @@
 	n.Runs[t.ID] = r
 	n.changes++
 	n.orders.Starts = append(n.orders.Starts, l.startOrder(r, ticket))
+	l.pending[n] = struct{}{}
 	l.log(Event{What: "start", Task: t.ID, Run: r.Number, Node: n.Name})
 }
 
@@ -437,6 +466,7 @@
 	r.State, r.absentFrom = Stopping, 0
 	r.Node.changes++
 	r.Node.orders.Stops = append(r.Node.orders.Stops, RunRef{r.ID, r.Number})
+	l.pending[r.Node] = struct{}{}
 	l.log(Event{What: "stop", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: reason})
 }
 
@@ -455,6 +485,21 @@
 	}
 	r.Pace, r.PaceSince = percent, now
 	r.Node.orders.Paces = append(r.Node.orders.Paces, PaceOrder{RunRef{r.ID, r.Number}, percent})
+	l.pending[r.Node] = struct{}{}
+}
+
+// TakePending returns the nodes that have reported, or for which there are new orders
+// or stored ends, since the last call.
+func (l *Ledger) TakePending() []*Node {
+	if len(l.pending) == 0 {
+		return nil
+	}
+	nodes := make([]*Node, 0, len(l.pending))
+	for n := range l.pending {
+		nodes = append(nodes, n)
+	}
+	clear(l.pending)
+	return nodes
 }
 
 // TakeOrders removes and returns the orders for the node. It reports false if
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -463,3 +463,22 @@
 	w.ledger.Tick(w.now)
 	require.Empty(t, w.ready())
 }
+
+// Guards against a task that counts twice as done, so that its step ends while other
+// tasks have not: a second run of it, started by an earlier leader, also ends as done.
+func TestSecondDoneEndOfATaskHasNoEffect(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	l := New(Options{Takeover: now, Attempts: func(*Job) int { return 3 }, Log: func(Event) {}})
+	job := l.AddJob(fleet.Job{ID: "job", Steps: []fleet.Step{{Count: 2}, {Count: 1, After: []int{0}}}}, true, now)
+	for i, name := range []string{"vm-1", "vm-2"} {
+		n := l.AddNode(name)
+		e := &fleet.Executor{Instance: name}
+		l.Report(n, Report{Executor: e, Listed: true, Ended: []fleet.End{{Number: 1, Task: fleet.TaskID{Job: "job"}, Run: 1 + i, Reason: fleet.EndDone}}}, now)
+	}
+	require.Equal(t, 1, job.Occurrences[0].Steps[0].Left)
+	require.Len(t, l.Ready(now.Add(time.Minute)), 0, "the job is inherited and not settled")
+	l.Tick(now)
+	for _, task := range l.Ready(now) {
+		require.Equal(t, 0, task.ID.Step)
+	}
+}
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -37,20 +38,40 @@
 	version  uint64 // of the job
 }
 
-// Dirty returns records of at most limit jobs whose progress is not stored yet.
+// progressChanged records that the progress of a job has to be stored.
+func (l *Ledger) progressChanged(job *Job) {
+	job.version++
+	l.queueUnstored(job)
+}
+
+// queueUnstored queues a job for Dirty, unless it is queued or a record of it is out.
+func (l *Ledger) queueUnstored(job *Job) {
+	if !job.unstored && !job.storing && job.version != job.storedVersion {
+		job.unstored = true
+		l.unstored = append(l.unstored, job)
+	}
+}
+
+// Unstored returns the number of jobs that Dirty would return a record of.
+func (l *Ledger) Unstored() int { return len(l.unstored) }
+
+// Dirty returns records of at most limit jobs whose progress is not stored yet, those
+// that have waited longest first. Each has to be passed to Stored or NotStored; until
+// then there is no other record of its job.
 func (l *Ledger) Dirty(limit int) ([]Record, error) {
 	var out []Record
-	for _, job := range l.Jobs {
-		if job.version == job.storedVersion {
+	for len(l.unstored) > 0 && len(out) < limit {
+		job := l.unstored[0]
+		l.unstored = l.unstored[1:]
+		job.unstored = false
+		if l.Jobs[job.ID] != job || job.version == job.storedVersion {
 			continue
 		}
-		if len(out) == limit {
-			break
-		}
 		value, err := json.Marshal(job.progress())
 		if err != nil {
-			return nil, fmt.Errorf("encode progress of job %s: %w", job.ID, err)
+			return out, fmt.Errorf("encode progress of job %s: %w", job.ID, err)
 		}
+		job.storing = true
 		out = append(out, Record{Job: job.ID, Value: value, Revision: job.revision, version: job.version})
 	}
 	return out, nil
@@ -80,9 +101,29 @@
 
 // Stored marks records of Dirty as stored at a revision.
 func (l *Ledger) Stored(records []Record, revision uint64) {
+	for _, r := range records {
+		job := l.Jobs[r.Job]
+		if job == nil {
+			continue
+		}
+		job.storing, job.storedVersion, job.revision = false, r.version, revision
+		for n := range job.endedOn {
+			l.pending[n] = struct{}{}
+		}
+		if job.version == job.storedVersion {
+			job.endedOn = nil
+		}
+		l.queueUnstored(job)
+	}
+}
+
+// NotStored returns records of Dirty that could not be stored, or of which it is not
+// known.
+func (l *Ledger) NotStored(records []Record) {
 	for _, r := range records {
 		if job := l.Jobs[r.Job]; job != nil {
-			job.storedVersion, job.revision = r.version, revision
+			job.storing = false
+			l.queueUnstored(job)
 		}
 	}
 }
@@ -100,12 +141,32 @@
 }
 
 // Restore sets the progress of a job from the store, where it has the given
-// revision. The job has to be added before, else Restore does nothing.
+// revision. The job has to be added before, else Restore does nothing. After an
+// error no task of the job is started, as it is not known which are done.
 func (l *Ledger) Restore(id string, value []byte, revision uint64, now time.Time) error {
 	job := l.Jobs[id]
 	if job == nil {
 		return nil
 	}
+	err := l.restore(job, value, revision, now)
+	if err != nil {
+		l.suspend(job)
+	}
+	return err
+}
+
+// suspend keeps the tasks of a job from being started.
+func (l *Ledger) suspend(job *Job) {
+	for _, occ := range job.Occurrences {
+		for _, s := range occ.Steps {
+			delete(l.openSteps, s)
+		}
+	}
+	l.scheduled = slices.DeleteFunc(l.scheduled, func(occ *Occurrence) bool { return slices.Contains(job.Occurrences, occ) })
+}
+
+func (l *Ledger) restore(job *Job, value []byte, revision uint64, now time.Time) error {
+	id := job.ID
 	var p progress
 	if err := json.Unmarshal(value, &p); err != nil {
 		return fmt.Errorf("stored progress of job %s: %w", id, err)
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -75,6 +75,7 @@
 func (l *Ledger) Report(n *Node, r Report, now time.Time) {
 	n.ReportedAt = now
 	n.changes++
+	l.pending[n] = struct{}{}
 	if r.Executor == nil {
 		return
 	}
@@ -262,11 +263,11 @@
 // taskByID returns the task with an id, or nil if there is none.
 func (l *Ledger) taskByID(id fleet.TaskID) *Task {
 	job := l.Jobs[id.Job]
-	if job == nil || id.Occurrence >= len(job.Occurrences) {
+	if job == nil || id.Occurrence < 0 || id.Occurrence >= len(job.Occurrences) {
 		return nil
 	}
 	steps := job.Occurrences[id.Occurrence].Steps
-	if id.Step >= len(steps) || id.Index >= len(steps[id.Step].Tasks) {
+	if id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= len(steps[id.Step].Tasks) {
 		return nil
 	}
 	return steps[id.Step].Tasks[id.Index]
@@ -290,7 +291,7 @@
 		l.countLateFailure(t, n, e, now)
 		return
 	}
-	if t == nil || other {
+	if t == nil || t.Done || other {
 		l.log(Event{What: "end without effect", Task: e.Task, Run: e.Run, Node: n.Name, Reason: e.Reason.String()})
 		return
 	}
@@ -314,7 +315,11 @@
 func (l *Ledger) countEnd(t *Task, n *Node, e fleet.End, what string) {
 	l.log(Event{What: what, Task: e.Task, Run: e.Run, Node: n.Name, Reason: e.Reason.String()})
 	job := t.Step.Job
-	job.version++
+	l.progressChanged(job)
+	if job.endedOn == nil {
+		job.endedOn = map[*Node]struct{}{}
+	}
+	job.endedOn[n] = struct{}{}
 	n.unstoredEnds = append(n.unstoredEnds, unstoredEnd{e.Number, job, job.version})
 }
 
@@ -339,6 +344,9 @@
 // markDone marks a task as done, and opens the steps that waited for it or finishes
 // the job.
 func (l *Ledger) markDone(t *Task, now time.Time) {
+	if t.Done {
+		return
+	}
 	t.Done = true
 	s := t.Step
 	if s.Left--; s.Left > 0 || s.Job.Final != "" {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -21,6 +21,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/structs"
@@ -90,7 +91,8 @@
 	MaxConnection  int
 }
 
-// Config is one version of the operators' configuration.
+// Config is one version of the operators' configuration. It does not change once it
+// is in use.
 type Config struct {
 	Version      uint64
 	Queues       []Queue
@@ -99,6 +101,9 @@
 	MaxHeader    int           // bytes
 	HeaderTime   time.Duration // timeout for reading the header of a request
 	IdleTime     time.Duration // timeout of an idle connection
+
+	indexOnce sync.Once
+	byName    map[string]*Queue // of Queues, set by indexOnce
 }
 
 // FindQueue returns the queue of a request: of the queues of the host, the one with the
@@ -116,12 +121,14 @@
 
 // QueueByName returns the queue with the given name.
 func (c *Config) QueueByName(name string) (*Queue, bool) {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i], true
+	c.indexOnce.Do(func() {
+		c.byName = make(map[string]*Queue, len(c.Queues))
+		for i := range c.Queues {
+			c.byName[c.Queues[i].Name] = &c.Queues[i]
 		}
-	}
-	return nil, false
+	})
+	q, ok := c.byName[name]
+	return q, ok
 }
 
 // TaskID identifies a task: a job, an occurrence of it, a step and an index.
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -126,7 +126,7 @@
 	queue := func(name, prefix string) fleet.Queue {
 		return fleet.Queue{Name: name, Host: queueHost, Prefix: prefix, Policy: fleet.Policy{Pool: poolName, MaxAttempts: queueAttempts, Stretch: 2}}
 	}
-	raw, err := wire.EncodeConfig(fleet.Config{
+	raw, err := wire.EncodeConfig(&fleet.Config{
 		Version: f.version, Pools: map[string]fleet.Pool{poolName: {}},
 		Queues: []fleet.Queue{queue("q", queuePrefix), queue(fmt.Sprintf("v%d", f.version), versionPath(f.version))},
 	})
