lead, platform: read the state in pages, without a deadline that it can outgrow

Change: the store port has Page instead of Range; a leader reads pages until its term ends, confirms its term meanwhile, and reads a page again after a failure. A relayed page is cut to 64 KiB. A relayed call that the other version does not know is refused instead of answered with nothing. Progress that cannot be read suspends its job; before, no entry could lead.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -16,7 +16,7 @@
 // load restores the ledger from the store: jobs, cancellations, VMs and progress. It
 // returns the revision from which to watch for changes.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
-	items, revision, err := l.opts.Store.Range(ctx, fleet.WatchedBase)
+	items, revision, err := l.readAll(ctx, fleet.WatchedBase)
 	if err != nil {
 		return 0, err
 	}
@@ -28,14 +28,14 @@
 			l.apply(ctx, fleet.Change{Item: item}, true, now)
 		}
 	}
-	progress, _, err := l.opts.Store.Range(ctx, fleet.ProgressBase)
+	progress, _, err := l.readAll(ctx, fleet.ProgressBase)
 	if err != nil {
 		return 0, err
 	}
 	l.loadLearned(ctx, now)
 	for _, item := range progress {
 		if err := l.ledger.Restore(strings.TrimPrefix(item.Key, fleet.ProgressBase), item.Value, item.Revision, now); err != nil {
-			return 0, err
+			l.opts.Log.Error("Cannot restore the progress of a job, its tasks are not started.", "key", item.Key, "err", err)
 		}
 	}
 	for _, item := range items {
@@ -46,6 +46,40 @@
 	return revision, nil
 }
 
+// readAll is fleet.ReadAll for the load of the state. It repeats failed pages for as
+// long as the term lasts, as the next leader would have to read the same.
+func (l *Leader) readAll(ctx context.Context, prefix string) ([]fleet.Item, uint64, error) {
+	return fleet.ReadAll(ctx, &termReader{l.opts.Store, l}, prefix)
+}
+
+// termReader is a store whose pages are read again after a failure until the term
+// ends. Before each page it handles the events of the leader, such as the
+// confirmations of its term.
+type termReader struct {
+	fleet.Store
+	leader *Leader
+}
+
+// Page implements fleet.Store.
+func (r *termReader) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
+	for {
+		page, err := r.Store.Page(ctx, prefix, after)
+		r.leader.drainEvents()
+		r.leader.checkTerm(time.Now())
+		if ctx.Err() != nil {
+			return page, ctx.Err()
+		}
+		if r.leader.deposed != nil {
+			return page, r.leader.deposed
+		}
+		if err == nil {
+			return page, nil
+		}
+		r.leader.opts.Log.Warn("Page of the state not read, trying again.", "prefix", prefix, "after", after, "err", err)
+		fleet.Sleep(ctx, pageRetry)
+	}
+}
+
 // loadLearned imports what an earlier leader has learned about which images disturb
 // each other. Without it this leader starts to learn from nothing.
 func (l *Leader) loadLearned(ctx context.Context, now time.Time) {
@@ -156,7 +190,7 @@
 		if errors.Is(err, fleet.ErrCompacted) {
 			l.opts.Log.Warn("The store has dropped the history after this revision, reading all keys again.", "after", after)
 			var items []fleet.Item
-			items, next, err = l.opts.Store.Range(ctx, fleet.WatchedBase)
+			items, next, err = fleet.ReadAll(ctx, l.opts.Store, fleet.WatchedBase)
 			for _, item := range items {
 				changes = append(changes, fleet.Change{Item: item})
 			}
--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -132,7 +132,7 @@
 			_, err := e.direct.Commit(ctx, fleet.Txn{Put: []fleet.Write{{Key: key, Value: value}}})
 			written = err == nil
 		}
-		items, _, err := e.direct.Range(ctx, fleet.EntryBase)
+		items, _, err := fleet.ReadAll(ctx, e.direct, fleet.EntryBase)
 		if err == nil {
 			e.peers.set(e.otherAddresses(items))
 		}
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -56,18 +56,25 @@
 // storeCall is the wire form of a relayed call to the store. Exactly one field is set.
 type storeCall struct {
 	Get    string        `json:"get,omitempty"`
-	Range  string        `json:"range,omitempty"`
+	Page   *pageCall     `json:"page,omitempty"`
 	Commit *fleet.Txn    `json:"commit,omitempty"`
 	Grant  time.Duration `json:"grant,omitempty"`
 	Keep   uint64        `json:"keep,omitempty"`
 	End    uint64        `json:"end,omitempty"`
 }
 
+// pageCall asks for the items whose keys have a prefix and come after a key.
+type pageCall struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"`
+}
+
 // storeReply is the wire form of the store's answer. Problem is the kind of error,
 // empty for none, and Detail its text.
 type storeReply struct {
 	Item     fleet.Item   `json:"item,omitzero"`
-	Items    []fleet.Item `json:"items,omitempty"` // of Range, or the current items of a conflict
+	Items    []fleet.Item `json:"items,omitempty"` // of a page, or the current items of a conflict
+	More     bool         `json:"more,omitempty"`  // of a page: there are further items
 	Revision uint64       `json:"revision,omitempty"`
 	Lease    uint64       `json:"lease,omitempty"`
 	Problem  string       `json:"problem,omitempty"`
@@ -107,9 +114,7 @@
 func (r *relayStore) try(ctx context.Context, c storeCall) (storeReply, error) {
 	var failed error
 	if sinceStart() >= r.avoidDirectUntil.Load() {
-		direct, cancel := context.WithTimeout(ctx, directTimeout)
-		reply, err := c.execute(direct, r.Store)
-		cancel()
+		reply, err := c.executeDirect(ctx, r.Store)
 		if !isOutage(err) {
 			return reply, err
 		}
@@ -151,13 +156,27 @@
 	return err != nil && !errors.Is(err, kv.ErrNotFound) && !errors.As(err, new(*fleet.ConflictError))
 }
 
+// executeDirect makes the call on the store within directTimeout. A page has no time
+// limit but the silence that the client of the store allows: relayed, it would take
+// longer still.
+func (c storeCall) executeDirect(ctx context.Context, s fleet.Store) (storeReply, error) {
+	if c.Page == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, directTimeout)
+		defer cancel()
+	}
+	return c.execute(ctx, s)
+}
+
 // execute makes the call on a store.
 func (c storeCall) execute(ctx context.Context, s fleet.Store) (reply storeReply, err error) {
 	switch {
 	case c.Get != "":
 		reply.Item, err = s.Get(ctx, c.Get)
-	case c.Range != "":
-		reply.Items, reply.Revision, err = s.Range(ctx, c.Range)
+	case c.Page != nil:
+		var page fleet.Page
+		page, err = s.Page(ctx, c.Page.Prefix, c.Page.After)
+		reply.Items, reply.More, reply.Revision = page.Items, page.More, page.AsOf
 	case c.Commit != nil:
 		reply.Revision, err = s.Commit(ctx, *c.Commit)
 	case c.Grant > 0:
@@ -166,10 +185,28 @@
 		err = s.KeepLease(ctx, c.Keep)
 	case c.End > 0:
 		err = s.EndLease(ctx, c.End)
+	default: // of another version
+		err = fmt.Errorf("%w: unknown call", kv.ErrUnavailable)
 	}
 	return reply, err
 }
 
+// maxRelayedBytes is the size of the values of a relayed page. Over a link of
+// 2 Mbit/s they take a quarter of a second.
+const maxRelayedBytes = 64 << 10
+
+// shorten drops the last items of a page so that it fits into a frame and arrives in
+// time. It keeps one at least.
+func (r *storeReply) shorten() {
+	size := 0
+	for i, item := range r.Items {
+		if size += len(item.Key) + len(item.Value); size > maxRelayedBytes && i > 0 {
+			r.Items, r.More = r.Items[:i], true
+			return
+		}
+	}
+}
+
 // withError returns the reply with an error in its wire form.
 func (r storeReply) withError(err error) storeReply {
 	var conflict *fleet.ConflictError
@@ -211,10 +248,15 @@
 	return reply.Item, err
 }
 
-// Range implements fleet.Store.
-func (r *relayStore) Range(ctx context.Context, prefix string) ([]fleet.Item, uint64, error) {
-	reply, err := r.call(ctx, storeCall{Range: prefix})
-	return reply.Items, reply.Revision, err
+// Page implements fleet.Store.
+func (r *relayStore) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
+	reply, err := r.call(ctx, storeCall{Page: &pageCall{prefix, after}})
+	if err == nil && reply.Revision == 0 {
+		// An entry of an earlier version answers a call that it does not know with
+		// nothing.
+		err = fmt.Errorf("%w: a page without a revision", kv.ErrUnavailable)
+	}
+	return fleet.Page{Items: reply.Items, More: reply.More, AsOf: reply.Revision}, err
 }
 
 // Watch implements fleet.Store. It is not relayed: its callers read the keys again
@@ -287,6 +329,7 @@
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
 	reply, err := call.execute(ctx, e.direct)
+	reply.shorten()
 	raw, err := json.Marshal(reply.withError(err))
 	if err != nil {
 		return nil, fmt.Errorf("encode relayed reply: %w", err)
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -56,9 +56,10 @@
 type Store interface {
 	// Get returns the item of a key.
 	Get(ctx context.Context, key string) (Item, error)
-	// Range returns the items whose keys have a prefix, and the revision after which
-	// a watch misses no later change.
-	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Page returns the items whose keys have a prefix and come after a key, in the
+	// order of their keys: as many as the store puts into one answer. An empty key
+	// stands for the beginning.
+	Page(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes after a revision, and the revision to continue
 	// from. It returns once there is a change or wait has passed.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
@@ -72,6 +73,37 @@
 	EndLease(ctx context.Context, lease uint64) error
 }
 
+// Page is a part of the items whose keys have a prefix.
+type Page struct {
+	Items []Item
+	AsOf  uint64 // revision of the store at the read; a watch after it misses no later change
+	More  bool   // there are items after the last one
+}
+
+// ReadAll returns the items whose keys have a prefix, and the revision after which a
+// watch misses no later change. The pages are not one snapshot, so it is that of the
+// first one.
+func ReadAll(ctx context.Context, s Store, prefix string) ([]Item, uint64, error) {
+	var items []Item
+	var first uint64
+	for page := (Page{More: true}); page.More; {
+		after := ""
+		if len(items) > 0 {
+			after = items[len(items)-1].Key
+		}
+		var err error
+		if page, err = s.Page(ctx, prefix, after); err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			first = page.AsOf
+		}
+		items = append(items, page.Items...)
+		page.More = page.More && len(page.Items) > 0
+	}
+	return items, first, nil
+}
+
 // MaxTxn is the largest number of conditions, writes and deletions of a Txn.
 const MaxTxn = 32
 
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -109,20 +109,24 @@
 	return item, nil
 }
 
-// Range implements fleet.Store.
-func (s *Store) Range(_ context.Context, prefix string) ([]fleet.Item, uint64, error) {
+// pageItems is the number of items in a page.
+const pageItems = 500
+
+// Page implements fleet.Store.
+func (s *Store) Page(_ context.Context, prefix, after string) (fleet.Page, error) {
 	defer s.mu.Unlock()
 	if err := s.lockForCall(); err != nil {
-		return nil, 0, err
+		return fleet.Page{}, err
 	}
 	var out []fleet.Item
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, item)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, s.revision, nil
+	more := len(out) > pageItems
+	return fleet.Page{Items: out[:min(len(out), pageItems)], AsOf: s.revision, More: more}, nil
 }
 
 // Watch implements fleet.Store.
