lead, link: send a spec once to an agent, and keep starts within half of the link

Cause: each start order carries the spec of its job. Renewals of the leader's key, commits and reports waited behind them, sessions ended, the leader was deposed 8 times (counters of bytes on the metrics address: starts were 0.88 of the bytes of orders, reports at most 0.13 MB a second, store calls 0.03).

Change: both ends of a session keep the specs of the latest 128 jobs, so a spec goes once to an agent (an agent of an earlier version gets all of them). Starts have a budget of half of the link that the settings name, from golang.org/x/time/rate; tasks beyond it wait in their order. Orders that an agent cannot decode end the session, since specs depend on earlier frames.

Ruled out: a priority within a session; the queue is at the link, which 240 sessions share.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -61,6 +61,7 @@
 	StatusKept time.Duration        // minimum retention of the final states of jobs
 	StoreLease time.Duration        // shortest lease that the store grants
 	CPUShare   float64              // share of a core that the entry gets; below 1, it campaigns later
+	LinkRate   float64              // bytes per second of the network link; 0: not known
 	Config     func() *fleet.Config // set by NewEntry
 	Log        *log.Logger
 	Metrics    *Metrics
@@ -104,7 +105,7 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 	}
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, Attempts: l.attempts, Log: l.logEvent})
-	l.planner = planner{ledger: l.ledger, policy: l.policyOf, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{}}
+	l.planner = planner{ledger: l.ledger, policy: l.policyOf, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{}, budget: newStartBudget(o.LinkRate), holdsSpec: l.holdsSpec, orderedSpecs: map[specKey]struct{}{}}
 	return l
 }
 
@@ -128,6 +129,12 @@
 	return j.Policy
 }
 
+// holdsSpec reports whether the agent of a VM has the spec of a job.
+func (l *Leader) holdsSpec(vm, job string) bool {
+	link := l.links[vm]
+	return link != nil && link.specs != nil && link.specs.Holds(job)
+}
+
 func (l *Leader) attempts(j *ledger.Job) int { return max(1, l.policyOf(j).MaxAttempts) }
 
 // run is the event loop of the leader. It returns the reason when ctx or the term
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -34,6 +34,7 @@
 	outbox        chan *pb.Frame
 	cancel        context.CancelFunc // of the session
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
+	specs         *link.Specs        // that the agent keeps; nil: none
 }
 
 func newNodeLink(address string) *nodeLink {
@@ -55,7 +56,7 @@
 // send queues orders, with a lease if it is not 0. If the queue is full it ends the
 // session; the agent gets the missed orders in the next one.
 func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
-	frame := link.Orders(o, n.pendingReport, lease)
+	frame := link.Orders(o, n.pendingReport, lease, n.specs)
 	m.OrderBytes.Add(int64(proto.Size(frame)))
 	select {
 	case n.outbox <- frame:
@@ -110,7 +111,7 @@
 			}
 		}
 	}()
-	if !l.post(ctx, func() { n.connected, n.outbox, n.cancel, n.pendingReport = true, outbox, cancel, 0 }) {
+	if !l.post(ctx, func() { n.connected, n.outbox, n.cancel, n.pendingReport, n.specs = true, outbox, cancel, 0, nil }) {
 		return
 	}
 	for {
@@ -156,6 +157,9 @@
 		n.cancel() // the agent reports its ends again in the next session
 		return
 	}
+	if m.GetKeepsSpecs() && n.specs == nil {
+		n.specs = link.NewSpecs()
+	}
 	now := time.Now()
 	l.ledger.Report(node, report, now)
 	if report.Listed {
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -52,11 +52,15 @@
 	estimator *tail.Estimator
 	// toMove holds the filling runs that disturb serving tasks. The next plan moves
 	// those that another VM can take.
-	toMove         map[*ledger.Run]struct{}
-	lastClear      time.Time // last search for a lasting task to move
-	cache          map[string]*vmCacheEntry
-	lastPreemption time.Time // last preemption
-	lastMark       time.Time // last selection of the VMs kept for filling tasks
+	toMove    map[*ledger.Run]struct{}
+	lastClear time.Time // last search for a lasting task to move
+	cache     map[string]*vmCacheEntry
+	budget    startBudget
+	// holdsSpec reports whether a start of a job on a VM is ordered without its spec.
+	holdsSpec      func(vm, job string) bool
+	orderedSpecs   map[specKey]struct{} // ordered by the current plan
+	lastPreemption time.Time            // last preemption
+	lastMark       time.Time            // last selection of the VMs kept for filling tasks
 }
 
 // vmCacheEntry caches the place.VM of a node. It is valid while the node and its
@@ -86,9 +90,13 @@
 		return
 	}
 	p.sortReady(ready)
+	clear(p.orderedSpecs)
 	failed := place.Failed{}
 	searches := 0
 	for _, r := range ready {
+		if !p.budget.open(now) {
+			return // the tick plans again
+		}
 		left := p.startTasks(r, vms, nodes, failed, now)
 		if left == nil || left.Fills || searches == maxPreemptSearches {
 			continue
@@ -105,6 +113,9 @@
 	var ranked place.Task // the task that ranking is for
 	use := expectedUse(r.Step.Spec)
 	for _, t := range r.Tasks {
+		if !p.budget.open(now) {
+			return nil
+		}
 		task := p.describeTask(t, now)
 		if ranking == nil || task != ranked {
 			if failed.Covers(&task) {
@@ -118,11 +129,27 @@
 			failed.Add(&task)
 			return &task
 		}
+		p.budget.spend(now, p.payload(t, nodes[i].Name))
 		p.ledger.Start(t, nodes[i], "", now)
 	}
 	return nil
 }
 
+// specKey identifies the spec of a job on its way to a VM.
+type specKey struct{ vm, job string }
+
+// payload returns the bytes of the spec and the checkpoint in the order to start a
+// task on a VM.
+func (p *planner) payload(t *ledger.Task, vm string) int {
+	n := len(t.Checkpoint)
+	key := specKey{vm, t.ID.Job}
+	if _, ordered := p.orderedSpecs[key]; !ordered && !p.holdsSpec(vm, t.ID.Job) {
+		p.orderedSpecs[key] = struct{}{}
+		n += len(t.Step.Job.Spec)
+	}
+	return n
+}
+
 // sortReady sorts steps by the priority of their queues, then by the acceptance time
 // of their jobs.
 func (p *planner) sortReady(ready []ledger.ReadyStep) {
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -34,6 +34,7 @@
 	l.plan = planner{
 		ledger: l.ledger, policy: func(*ledger.Job) fleet.Policy { return policy },
 		estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{},
+		budget: newStartBudget(0), holdsSpec: func(string, string) bool { return false }, orderedSpecs: map[specKey]struct{}{},
 	}
 	for i := range vms {
 		l.ledger.AddNode(fmt.Sprintf("vm-%03d", i))
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -47,10 +47,14 @@
 }
 
 // Orders returns the frame of orders for an agent. It answers the report with the
-// given number and grants a lease unless lease is 0.
-func Orders(o ledger.Orders, report uint64, lease time.Duration) *pb.Frame {
+// given number and grants a lease unless lease is 0. The specs are those that the
+// agent keeps, or nil if it keeps none.
+func Orders(o ledger.Orders, report uint64, lease time.Duration, specs *Specs) *pb.Frame {
 	m := &pb.Orders{Instance: o.Instance, Report: report, LeaseMs: uint32(lease.Milliseconds()), StoredEnds: o.Stored}
 	for _, s := range o.Starts {
+		if specs != nil {
+			specs.omit(&s)
+		}
 		m.Starts = append(m.Starts, &pb.StartRun{Task: s.Task.String(), Run: uint32(s.Run), Spec: s.Spec, Checkpoint: s.Checkpoint, Ticket: s.Ticket})
 	}
 	for _, s := range o.Stops {
@@ -62,15 +66,18 @@
 	return &pb.Frame{Body: &pb.Frame_Orders{Orders: m}}
 }
 
-// ReadOrders converts orders from protobuf. It fails on a malformed task name.
-func ReadOrders(m *pb.Orders) (ledger.Orders, error) {
+// ReadOrders converts orders from protobuf. It fails on a malformed task name. The
+// specs are those of the session, of which it is called for each frame.
+func ReadOrders(m *pb.Orders, specs *Specs) (ledger.Orders, error) {
 	o := ledger.Orders{Instance: m.GetInstance(), Stored: m.GetStoredEnds()}
 	for _, s := range m.GetStarts() {
 		id, err := fleet.ParseTaskID(s.GetTask())
 		if err != nil {
 			return o, fmt.Errorf("start: %w", err)
 		}
-		o.Starts = append(o.Starts, fleet.StartOrder{Task: id, Run: int(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket()})
+		start := fleet.StartOrder{Task: id, Run: int(s.GetRun()), Spec: s.GetSpec(), Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket()}
+		specs.restore(&start)
+		o.Starts = append(o.Starts, start)
 	}
 	for _, s := range m.GetStops() {
 		id, err := fleet.ParseTaskID(s.GetTask())
@@ -91,7 +98,7 @@
 
 // Report returns the frame of an agent's report with the given number.
 func Report(number uint64, r ledger.Report) *pb.Frame {
-	m := &pb.NodeReport{Number: number, Listed: r.Listed, Lapsed: r.Lapsed}
+	m := &pb.NodeReport{Number: number, Listed: r.Listed, Lapsed: r.Lapsed, KeepsSpecs: true}
 	if e := r.Executor; e != nil {
 		m.Executor = &pb.Executor{
 			Instance: e.Instance, Pool: e.Pool, FailureDomain: e.FailureDomain, Labels: e.Labels,
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -99,6 +99,7 @@
 	cancel       context.CancelFunc
 	lastReceived time.Time
 	reported     reportedLists
+	specs        *link.Specs
 }
 
 // New returns an Agent that does nothing until Run.
@@ -374,7 +375,7 @@
 	if err != nil || frame.GetLead() == nil {
 		return
 	}
-	s := &session{term: frame.GetLead().GetTerm(), outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
+	s := &session{term: frame.GetLead().GetTerm(), outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, lastReceived: time.Now(), specs: link.NewSpecs()}
 	a.post(ctx, func() { a.follow(s, frame.GetLead().GetLeader()) })
 	go func() {
 		for {
@@ -439,12 +440,13 @@
 		return
 	}
 	s.lastReceived = time.Now()
-	if a.executor == nil || m.GetInstance() != a.executor.Instance {
+	orders, err := link.ReadOrders(m, s.specs)
+	if err != nil {
+		a.opts.Log.Error("Orders not readable, session closed.", "err", err)
+		s.cancel() // the leader repeats them in the next session
 		return
 	}
-	orders, err := link.ReadOrders(m)
-	if err != nil {
-		a.opts.Log.Error("Orders not readable.", "err", err)
+	if a.executor == nil || m.GetInstance() != a.executor.Instance {
 		return
 	}
 	if sent, ok := a.sentReports[m.GetReport()]; ok && m.GetLeaseMs() > 0 {
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -12,6 +12,7 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -63,7 +64,7 @@
 	x := &scriptedExecutor{calls: make(chan executorCall, 8)}
 	a := New(Options{Executors: x, MaxLease: 10 * time.Second, Log: log.New(io.Discard)})
 	a.executor = &fleet.Executor{Instance: "x@1", Born: firstBorn}
-	a.session = &session{outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel}
+	a.session = &session{outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, specs: link.NewSpecs()}
 	a.ackedEnd, a.lease.deadline = 5, time.Hour
 	go func() {
 		for {
@@ -176,7 +177,7 @@
 	defer cancel()
 	a := New(Options{Executors: x, MaxLease: 10 * time.Second, Log: log.New(io.Discard)})
 	a.executor = &fleet.Executor{Instance: "x@1", Born: firstBorn}
-	a.session = &session{outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
+	a.session = &session{outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, specs: link.NewSpecs(), lastReceived: time.Now()}
 	a.lease = lease{latest: clockReading{clock: 0, at: time.Now().Add(-20 * time.Second)}, maxDeadline: 4 * time.Second, deadline: 4 * time.Second, hasReading: true}
 	a.sentReports[7] = sentReport{a.lease.latest, time.Now().Add(-time.Second)}
 	a.tick(ctx)
