agent: give no start order to an executor that leaves

Cause: an order without an answer is repeated until it has one, also after the executor's leave was acknowledged.

Change: a leave withdraws the start orders that have no answer, and refuses new ones. One that may have been carried out is followed by a stop.

TestLeavingExecutorIsNotOrderedToStart fails without it.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -163,6 +163,9 @@
 		a.executor = &e
 		if changed {
 			a.opts.Log.Info("Executor changed its state.", "instance", e.Instance, "draining", e.Draining, "remaining", e.DrainFor)
+			if e.Draining {
+				a.withdrawStarts()
+			}
 			a.report(ledger.Report{})
 		}
 		return
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -186,3 +186,38 @@
 	require.Equal(t, 4*time.Second, a.lease.deadline)
 	require.True(t, a.lease.expired(time.Now()))
 }
+
+// Guards against a task that starts on an executor seconds after the agent has
+// acknowledged that it leaves: an order without an answer is repeated, and an order
+// may arrive that the leader gave before it knew.
+func TestLeavingExecutorIsNotOrderedToStart(t *testing.T) {
+	a, x := newTestAgent(t)
+	leaving := fleet.Executor{Instance: "x@1", Born: firstBorn, Seq: 1, Draining: true}
+	first := fleet.StartOrder{Task: fleet.TaskID{Job: "job"}, Run: 1}
+	a.post(context.Background(), func() { a.startRun(a.session, first) })
+	start := <-x.calls
+	require.False(t, start.hold)
+	a.Announce(leaving)
+	close(start.answer)
+	results := map[int]fleet.OrderResult{}
+	for index := 1; len(results) < 2; {
+		select {
+		case c := <-x.calls:
+			require.True(t, c.hold, "a start after the leave was announced")
+			c.answer <- fleet.RunLists{Born: firstBorn, Clock: time.Second}
+			if index == 1 {
+				a.post(context.Background(), func() {
+					a.startRun(a.session, fleet.StartOrder{Task: fleet.TaskID{Job: "job", Index: 1}, Run: 1})
+				})
+				index++
+			}
+		case frame := <-a.session.outbox:
+			for _, r := range frame.GetNodeReport().GetResults() {
+				id, err := fleet.ParseTaskID(r.GetTask())
+				require.NoError(t, err)
+				results[id.Index] = fleet.OrderResult(r.GetResult())
+			}
+		}
+	}
+	require.Equal(t, map[int]fleet.OrderResult{0: fleet.OrderRevoked, 1: fleet.OrderBusy}, results)
+}
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
@@ -12,6 +13,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	stop   bool // a stop order; false: a start order
+	// withdrawn is set on a start order that must not be called any more.
+	withdrawn atomic.Bool
 }
 
 // cancelOrders cancels all orders in progress. The leader repeats those that it
@@ -23,6 +26,18 @@
 	}
 }
 
+// withdrawStarts keeps the start orders that have no answer yet from being called
+// again. An executor that leaves may be given tasks for a short time only after its
+// announcement was acknowledged, but calls are repeated for as long as they get no
+// answer.
+func (a *Agent) withdrawStarts() {
+	for _, o := range a.orders {
+		if !o.stop {
+			o.withdrawn.Store(true)
+		}
+	}
+}
+
 // beginOrder registers an order for a run and cancels an earlier one for it.
 func (a *Agent) beginOrder(s *session, ref ledger.RunRef, stop bool) *order {
 	if earlier := a.orders[ref]; earlier != nil {
@@ -79,11 +94,21 @@
 		return // in progress already
 	}
 	o := a.beginOrder(s, ref, false)
+	o.withdrawn.Store(a.executor.Draining)
 	e, term := *a.executor, a.term
 	start.Deadline = a.lease.deadline
 	go func() {
 		uncertain := false
 		for o.ctx.Err() == nil {
+			if o.withdrawn.Load() {
+				result := fleet.OrderBusy
+				if uncertain {
+					a.revoke(o.ctx, e, term, ref)
+					result = fleet.OrderRevoked
+				}
+				a.finishOrder(ref, o, result)
+				return
+			}
 			result, err := a.opts.Executors.Start(o.ctx, e, term, start)
 			if err == nil && result != fleet.OrderUnknown {
 				if uncertain && result != fleet.OrderDone && result != fleet.OrderFenced && result != fleet.OrderGone {
