ledger: drop the tasks of ended jobs

Each end of a run of a cancelled or failed job made another commit of the same final state.

Change: tasks and spec go once the final state is stored and no run is left; a new leader reads progress first and makes no tasks for ended jobs. An end of a run of such a job changes no record, and is acknowledged once the final state is stored (TestEndOfAFinalJobWaitsForItsState).

Ruled out for memory: frames and sessions, 15 MB of heap in use beside 50 MB from the system.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -9,43 +9,63 @@
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/fleet/tail"
 )
 
 // load restores the ledger from the store: jobs, cancellations, VMs and progress. It
-// returns the revision from which to watch for changes.
+// returns the revision from which to watch for changes. Progress is read first, so
+// that the tasks of ended jobs, which are most of the jobs, are never made. No other
+// leader can store progress in the meantime.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
+	progress, _, err := l.readAll(ctx, fleet.ProgressBase)
+	if err != nil {
+		return 0, err
+	}
 	items, revision, err := l.readAll(ctx, fleet.WatchedBase)
 	if err != nil {
 		return 0, err
 	}
 	now := time.Now()
+	progressOf := make(map[string]fleet.Item, len(progress))
+	for _, item := range progress {
+		progressOf[strings.TrimPrefix(item.Key, fleet.ProgressBase)] = item
+	}
 	// The items are sorted by key, cancellations before jobs. A cancellation needs
 	// its job in the ledger, so cancellations are applied last.
 	for _, item := range items {
-		if !strings.HasPrefix(item.Key, fleet.CancelBase) {
+		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok {
+			l.restoreJob(ctx, id, item, progressOf, now)
+		} else if !strings.HasPrefix(item.Key, fleet.CancelBase) {
 			l.apply(ctx, fleet.Change{Item: item}, true, now)
 		}
 	}
-	progress, _, err := l.readAll(ctx, fleet.ProgressBase)
-	if err != nil {
-		return 0, err
-	}
-	l.loadLearned(ctx, now)
-	for _, item := range progress {
-		if err := l.ledger.Restore(strings.TrimPrefix(item.Key, fleet.ProgressBase), item.Value, item.Revision, now); err != nil {
-			l.opts.Log.Error("Cannot restore the progress of a job, its tasks are not started.", "key", item.Key, "err", err)
-		}
-	}
 	for _, item := range items {
 		if strings.HasPrefix(item.Key, fleet.CancelBase) {
 			l.apply(ctx, fleet.Change{Item: item}, true, now)
 		}
 	}
+	l.loadLearned(ctx, now)
 	return revision, nil
 }
 
+// restoreJob adds a stored job with its progress.
+func (l *Leader) restoreJob(ctx context.Context, id string, item fleet.Item, progress map[string]fleet.Item, now time.Time) {
+	p, known := progress[id]
+	if state, err := ledger.StoredState(p.Value); known && err == nil && state.IsFinal() {
+		l.ledger.AddFinal(id, state, p.Revision, now)
+		return
+	}
+	l.apply(ctx, fleet.Change{Item: item}, true, now)
+	if !known {
+		return
+	}
+	if err := l.ledger.Restore(id, p.Value, p.Revision, now); err != nil {
+		l.opts.Log.Error("Cannot restore the progress of a job, its tasks are not started.", "key", p.Key, "err", err)
+	}
+}
+
 // readAll is fleet.ReadAll for the load of the state. It repeats failed pages for as
 // long as the term lasts, as the next leader would have to read the same.
 func (l *Leader) readAll(ctx context.Context, prefix string) ([]fleet.Item, uint64, error) {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -482,3 +482,36 @@
 		require.Equal(t, 0, task.ID.Step)
 	}
 }
+
+// Guards against an end that is acknowledged before the final state of its job is
+// stored: the next leader would start the task again. And against tasks and records of
+// ended jobs that fill the leader and the store.
+func TestEndOfAFinalJobWaitsForItsState(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	l := New(Options{Takeover: now, Attempts: func(*Job) int { return 1 }, Log: func(Event) {}})
+	n := l.AddNode("vm")
+	e := &fleet.Executor{Instance: "vm"}
+	l.Report(n, Report{Executor: e, Listed: true}, now)
+	job := l.AddJob(fleet.Job{ID: "job", Spec: "spec", Steps: []fleet.Step{{Count: 2}}}, false, now)
+	for _, task := range l.Ready(now) {
+		l.Start(task, n, "", now)
+	}
+	end := func(index int, reason fleet.EndReason) fleet.End {
+		return fleet.End{Number: uint64(index + 1), Task: fleet.TaskID{Job: "job", Index: index}, Run: 1, Reason: reason}
+	}
+	l.Report(n, Report{Executor: e, Listed: true, Ended: []fleet.End{end(0, fleet.EndFailed)}}, now)
+	require.Equal(t, Failed, job.Final)
+	l.Report(n, Report{Executor: e, Listed: true, Ended: []fleet.End{end(1, fleet.EndDone)}}, now)
+	orders, _ := n.TakeOrders()
+	require.Zero(t, orders.Stored)
+	records, err := l.Dirty(10)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	l.Stored(records, 7)
+	orders, some := n.TakeOrders()
+	require.True(t, some)
+	require.EqualValues(t, 2, orders.Stored)
+	require.Zero(t, l.Unstored(), "the second end changes no record")
+	require.Empty(t, job.Occurrences)
+	require.Equal(t, Failed, job.VisibleState())
+}
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -114,9 +114,28 @@
 			job.endedOn = nil
 		}
 		l.queueUnstored(job)
+		l.dropTasks(job)
 	}
 }
 
+// dropTasks frees the tasks of a job once its final state is stored and its runs have
+// ended. The job itself is kept for the callers that ask for its state.
+func (l *Ledger) dropTasks(job *Job) {
+	if job.Final == "" || job.storedVersion < job.finalVersion {
+		return
+	}
+	for _, occ := range job.Occurrences {
+		for _, s := range occ.Steps {
+			for _, t := range s.Tasks {
+				if t.Current != nil {
+					return
+				}
+			}
+		}
+	}
+	job.Occurrences, job.Steps, job.Spec = nil, nil, ""
+}
+
 // NotStored returns records of Dirty that could not be stored, or of which it is not
 // known.
 func (l *Ledger) NotStored(records []Record) {
@@ -140,6 +159,13 @@
 	return Active, nil
 }
 
+// AddFinal adds a job whose stored state is final, without its tasks.
+func (l *Ledger) AddFinal(id string, state JobState, revision uint64, now time.Time) {
+	if l.Jobs[id] == nil {
+		l.Jobs[id] = &Job{Job: fleet.Job{ID: id}, Started: true, Final: state, FinalAt: now, revision: revision}
+	}
+}
+
 // Restore sets the progress of a job from the store, where it has the given
 // revision. The job has to be added before, else Restore does nothing. After an
 // error no task of the job is started, as it is not known which are done.
@@ -176,6 +202,7 @@
 		job.Started = true
 		l.finish(job, p.Final, now)
 		job.storedVersion = job.version
+		l.dropTasks(job)
 		return nil
 	}
 	for _, tp := range p.Tasks {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -279,6 +279,10 @@
 	if run := n.Runs[e.Task]; run != nil && run.Number == e.Run {
 		delete(n.Runs, e.Task)
 	}
+	if job := l.Jobs[e.Task.Job]; job != nil && job.Final != "" {
+		l.applyEndOfFinal(job, n, e)
+		return
+	}
 	t := l.taskByID(e.Task)
 	if t != nil && isLateDone(t, e) {
 		l.countEnd(t, n, e, "late end")
@@ -310,17 +314,35 @@
 	t.ReadySince = now
 }
 
+// applyEndOfFinal applies an end of a run of a job whose state is final. It changes
+// nothing that has to be stored, but is acknowledged only once the final state is
+// stored: with an earlier state, the next leader would start the task again.
+func (l *Ledger) applyEndOfFinal(job *Job, n *Node, e fleet.End) {
+	if t := l.taskByID(e.Task); t != nil && t.Current != nil && t.Current.Node == n && t.Current.Number == e.Run {
+		t.Current = nil
+	}
+	l.log(Event{What: "end", Task: e.Task, Run: e.Run, Node: n.Name, Reason: e.Reason.String()})
+	l.waitForStore(job, n, e)
+	l.dropTasks(job)
+}
+
+// waitForStore keeps an end from being acknowledged before the present state of its
+// job is stored.
+func (l *Ledger) waitForStore(job *Job, n *Node, e fleet.End) {
+	if job.endedOn == nil {
+		job.endedOn = map[*Node]struct{}{}
+	}
+	job.endedOn[n] = struct{}{}
+	n.unstoredEnds = append(n.unstoredEnds, unstoredEnd{e.Number, job, job.version})
+}
+
 // countEnd records that an end changes the progress of its job, which is stored
 // before the end is acknowledged.
 func (l *Ledger) countEnd(t *Task, n *Node, e fleet.End, what string) {
 	l.log(Event{What: what, Task: e.Task, Run: e.Run, Node: n.Name, Reason: e.Reason.String()})
 	job := t.Step.Job
 	l.progressChanged(job)
-	if job.endedOn == nil {
-		job.endedOn = map[*Node]struct{}{}
-	}
-	job.endedOn[n] = struct{}{}
-	n.unstoredEnds = append(n.unstoredEnds, unstoredEnd{e.Number, job, job.version})
+	l.waitForStore(job, n, e)
 }
 
 // isLateDone reports whether a run has done its task although a run with the same
