--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -168,6 +168,10 @@
 	if l.ledger.Jobs[job.ID] != nil {
 		return
 	}
+	if err := job.Validate(); err != nil {
+		l.opts.Log.Error("Stored job cannot run.", "job", job.ID, "err", err)
+		return
+	}
 	inherited := l.exclusiveSince == 0 || created <= l.exclusiveSince
 	l.ledger.AddJob(job, inherited, now)
 	if created > l.term {
