lead, agent: survive a suspension and a panic

(1) The monotonic clock of a suspended VM stands still, so a leader that wakes up took its last confirmation as recent: for up to 0.6 s it could order starts and grant leases, to agents that the next leader does not reach. The wall clock now counts too; a step of it delays starts until the next confirmation. (2) A panic in the loop of the leader or of an agent ended the process: the entry stopped serving callers, the executor lost its lease. It now ends the term or the session.

TestSuspendedLeaderWaitsForItsConfirmation and TestPanicOfTheLeaderEndsItsTermOnly fail without the changes.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -58,7 +58,7 @@
 	var conflict *fleet.ConflictError
 	switch {
 	case err == nil:
-		l.verifiedAt = maxTime(l.verifiedAt, sent)
+		l.confirm(sent)
 		l.ledger.Stored(records, revision)
 		return
 	case errors.As(err, &conflict):
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -70,15 +71,19 @@
 // Leader is one term of leadership. Only its event loop, run, accesses its state;
 // other goroutines pass functions to the loop with post.
 type Leader struct {
-	opts        Options
-	term        uint64 // revision of the leader's key; a later leader has a higher one
-	lease       uint64 // of the leader's key
-	events      chan event
-	ledger      *ledger.Ledger
-	links       map[string]*nodeLink
-	planner     planner
-	pacer       *pacer
-	verifiedAt  time.Time // send time of the latest call that confirmed the term
+	opts       Options
+	term       uint64 // revision of the leader's key; a later leader has a higher one
+	lease      uint64 // of the leader's key
+	events     chan event
+	ledger     *ledger.Ledger
+	links      map[string]*nodeLink
+	planner    planner
+	pacer      *pacer
+	verifiedAt time.Time // send time of the latest call that confirmed the term
+	// wallOffset is how far the wall clock is ahead of the monotonic one, which stands
+	// still while the VM is suspended.
+	wallOffset  func(now time.Time) time.Duration
+	offsetThen  time.Duration // wallOffset at verifiedAt
 	began       time.Time
 	predecessor predecessor
 
@@ -103,6 +108,7 @@
 	l := &Leader{
 		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), links: map[string]*nodeLink{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
+		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, Attempts: l.attempts, Log: l.logEvent})
 	l.planner = planner{ledger: l.ledger, policy: l.policyOf, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{}, budget: newStartBudget(o.LinkRate), holdsSpec: l.holdsSpec, orderedSpecs: map[specKey]struct{}{}}
@@ -139,7 +145,15 @@
 
 // run is the event loop of the leader. It returns the reason when ctx or the term
 // ends.
-func (l *Leader) run(ctx context.Context) error {
+func (l *Leader) run(ctx context.Context) (err error) {
+	// A fault of the leader ends its term, not the entry, which goes on to serve
+	// callers.
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("panic: %v", fault)
+			l.opts.Log.Error("Panic of the leader.", "panic", fault, "stack", string(debug.Stack()))
+		}
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go l.verify(ctx)
@@ -233,11 +247,30 @@
 	}
 }
 
+// confirm records that the store confirmed the term by a call sent at the given time.
+func (l *Leader) confirm(sent time.Time) {
+	if sent.After(l.verifiedAt) {
+		l.verifiedAt, l.offsetThen = sent, l.wallOffset(sent)
+	}
+}
+
+// unconfirmed returns for how long the store has not confirmed the term. A VM that was
+// suspended may have lost its term without noticing that time has passed; a step of
+// the wall clock looks the same, and delays starts until the next confirmation.
+func (l *Leader) unconfirmed(now time.Time) time.Duration {
+	return now.Sub(l.verifiedAt) + max(0, l.wallOffset(now)-l.offsetThen)
+}
+
+// wallOffset returns the offset of the wall clock of a reading from its monotonic one.
+func wallOffset(now time.Time) time.Duration {
+	return now.Round(0).Sub(processStart.Round(0)) - now.Sub(processStart)
+}
+
 // handleVerify handles a read of the leader's key that was sent at the given time.
 func (l *Leader) handleVerify(sent time.Time, item fleet.Item, err error) {
 	switch {
 	case err == nil && item.Revision == l.term:
-		l.verifiedAt = maxTime(l.verifiedAt, sent)
+		l.confirm(sent)
 		// Earlier leaders last confirmed their terms before this one began, so none
 		// of them orders starts any more.
 		if l.exclusiveSince == 0 && sent.Sub(l.began) > startGrace {
@@ -280,7 +313,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(l.verifiedAt) < startGrace && l.pacer.due(now) {
+	if l.unconfirmed(now) < startGrace && l.pacer.due(now) {
 		l.planner.plan(now)
 		l.pacer.done(now, time.Now())
 		l.opts.Metrics.Plan.Observe(time.Since(now))
@@ -305,7 +338,7 @@
 	if link.pendingReport == 0 {
 		return 0
 	}
-	confirmed := time.Duration(float64(l.verifiedAt.Add(l.opts.MaxLease).Sub(now)) * fleet.ClockRate)
+	confirmed := time.Duration(float64(l.opts.MaxLease-l.unconfirmed(now)) * fleet.ClockRate)
 	ttl := min(executorLease, confirmed)
 	if ttl <= 0 {
 		return 0
--- /dev/null
+++ b/internal/fleet/lead/term_test.go
@@ -0,0 +1,52 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+)
+
+// Guards against a leader that was suspended, during which its monotonic clock stood
+// still, and that orders starts or grants leases by a term that has ended meanwhile.
+func TestSuspendedLeaderWaitsForItsConfirmation(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 1)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	node := l.ledger.AddNode("vm")
+	link := newNodeLink("")
+	link.connected, link.outbox, link.cancel = true, nil, func() {}
+	l.links["vm"] = link
+	report := func() {
+		now := time.Now()
+		l.ledger.Report(node, ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true}, now)
+		link.pendingReport = 1
+		l.ledger.Tick(now)
+	}
+	suspended := time.Duration(0)
+	l.wallOffset = func(now time.Time) time.Duration { return wallOffset(now) + suspended }
+	suspended = l.opts.MaxLease
+	report()
+	require.Zero(t, l.grant(node, link, time.Now()))
+	l.dispatch(context.Background())
+	require.Empty(t, node.Runs, "a start by a term that may have ended")
+
+	l.handleVerify(time.Now(), fleet.Item{Revision: l.term}, nil)
+	report()
+	require.Equal(t, executorLease, l.grant(node, link, time.Now()))
+	l.dispatch(context.Background())
+	require.Len(t, node.Runs, 1)
+}
+
+// Guards against a fault of the leader that ends the process of the entry.
+func TestPanicOfTheLeaderEndsItsTermOnly(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 1)
+	l.post(context.Background(), func() { panic(errors.New("index out of range")) })
+	err := l.run(context.Background())
+	require.ErrorContains(t, err, "index out of range")
+}
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -118,13 +119,28 @@
 		case <-ctx.Done():
 			return nil
 		case f := <-a.events:
-			f()
+			a.handle(f)
 		case <-ticker.C:
-			a.tick(ctx)
+			a.handle(func() { a.tick(ctx) })
 		}
 	}
 }
 
+// handle runs f. A panic ends the session, after which the leader and the agent tell
+// each other everything again, and not the agent, whose executor would lose its lease.
+func (a *Agent) handle(f func()) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			a.opts.Log.Error("Panic of the agent, session closed.", "panic", fault, "stack", string(debug.Stack()))
+			a.nextGeneration()
+			if a.session != nil {
+				a.session.cancel()
+			}
+		}
+	}()
+	f()
+}
+
 // post queues f to run in the loop, unless ctx ends first.
 func (a *Agent) post(ctx context.Context, f func()) {
 	select {
