--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -71,6 +71,7 @@
 	reportNumber uint64                // of the latest report
 	sentReports  map[uint64]sentReport // by report number, for the grants that answer them
 	holdInFlight bool                  // a hold of this generation is in flight
+	holdWaits    bool                  // that hold waits for a run to end
 	unackedDelay time.Duration         // before the next hold while ends are unacknowledged
 	orders       map[ledger.RunRef]*order
 	holdTimer    *time.Timer
@@ -247,11 +248,13 @@
 		return
 	}
 	a.holdInFlight = true
+	a.holdWaits = wait > 0
 	s, e, term, deadline, stored := a.session, *a.executor, a.term, a.lease.deadline, a.ackedEnd
 	generation, sent := a.generation, time.Now()
 	if a.instanceUncertain.Load() {
 		// The deadline and the numbers of ends belong to the known instance.
 		deadline, stored, wait = 0, 0, 0
+		a.holdWaits = false
 	}
 	go func() {
 		lists, err := a.opts.Executors.Hold(s.ctx, e, term, deadline, stored, wait)
@@ -264,6 +267,15 @@
 	}()
 }
 
+// holdAtOnce asks for the lists without waiting for a hold that waits for a run to
+// end. The answer to that one is ignored.
+func (a *Agent) holdAtOnce() {
+	if a.holdInFlight && a.holdWaits {
+		a.nextGeneration()
+	}
+	a.hold(0)
+}
+
 // setInstanceUncertain records that a new instance may serve the next call. Until a
 // hold shows that the known instance still answers, the executor gets no lease, no
 // repeated starts and no acknowledgement of ends.
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -123,7 +123,7 @@
 			uncertain = true
 			a.post(o.ctx, func() {
 				a.setInstanceUncertain()
-				a.hold(0)
+				a.holdAtOnce()
 			})
 			for again := true; again; again = a.instanceUncertain.Load() && o.ctx.Err() == nil {
 				fleet.Sleep(o.ctx, orderRetryDelay)
