lead: answer reports with a lease every 0.25 s, and plan every 4 ms at most

It answers each of 2,000 reports a second with a frame, and plans up to 950 times a second.

Change: a report without orders to answer is granted a lease 0.25 s after the last one; agents go on to report every 0.3 s, leases last 4 s. Plans are 4 ms apart.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -324,7 +324,7 @@
 		if link == nil || !link.connected || l.ledger.Nodes[n.Name] != n || !n.Listed {
 			continue // the first lists of a session make it pending again
 		}
-		if orders, some := n.TakeOrders(); some || link.pendingReport > 0 {
+		if orders, some := n.TakeOrders(); some || link.grantDue(now) {
 			link.send(orders, l.grant(n, link, now), l.opts.Metrics)
 		}
 	}
@@ -343,6 +343,7 @@
 	if ttl <= 0 {
 		return 0
 	}
+	link.grantedAt = now
 	n.LeaseUntil = maxTime(n.LeaseUntil, now.Add(maxLeaseDuration(ttl)))
 	return ttl
 }
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -34,6 +34,7 @@
 	outbox        chan *pb.Frame
 	cancel        context.CancelFunc // of the session
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
+	grantedAt     time.Time          // when the latest lease was granted
 	specs         *link.Specs        // that the agent keeps; nil: none
 }
 
@@ -53,6 +54,15 @@
 	}
 }
 
+// grantInterval is the shortest time between two leases that answer reports without
+// orders. Agents report unchanged lists after 0.3 s, and on each start and end.
+const grantInterval = 250 * time.Millisecond
+
+// grantDue reports whether the latest report is to be answered with a lease now.
+func (n *nodeLink) grantDue(now time.Time) bool {
+	return n.pendingReport > 0 && now.Sub(n.grantedAt) >= grantInterval
+}
+
 // send queues orders, with a lease if it is not 0. If the queue is full it ends the
 // session; the agent gets the missed orders in the next one.
 func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
@@ -111,7 +121,9 @@
 			}
 		}
 	}()
-	if !l.post(ctx, func() { n.connected, n.outbox, n.cancel, n.pendingReport, n.specs = true, outbox, cancel, 0, nil }) {
+	if !l.post(ctx, func() {
+		n.connected, n.outbox, n.cancel, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, nil, time.Time{}
+	}) {
 		return
 	}
 	for {
--- a/internal/fleet/lead/pacer.go
+++ b/internal/fleet/lead/pacer.go
@@ -7,6 +7,7 @@
 	// planShare is the largest share of the time that plans take. The rest is left
 	// for reports, leases and commits, which keep the fleet alive.
 	planShare    = 0.3
+	minPlanDelay = 4 * time.Millisecond // lets the reports of many VMs share a plan
 	maxPlanDelay = 100 * time.Millisecond
 )
 
@@ -34,7 +35,7 @@
 
 // done records that a plan took from begin to end.
 func (p *pacer) done(begin, end time.Time) {
-	p.next = end.Add(min(maxPlanDelay, planDelay(end.Sub(begin))))
+	p.next = end.Add(min(maxPlanDelay, max(minPlanDelay, planDelay(end.Sub(begin)))))
 }
 
 // planDelay returns the pause after a plan that took the given time, so that plans
