--- a/internal/bench/page.go
+++ b/internal/bench/page.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// Markers of the generated part of the capacity page, docs/CAPACITY.md.
+// Markers of the generated part of the capacity page, docs/capacity-bench.md.
 const (
 	beginMarker = "<!-- begin generated from docs/capacity.json -->"
 	endMarker   = "<!-- end generated -->"
--- a/internal/bench/page_test.go
+++ b/internal/bench/page_test.go
@@ -15,11 +15,11 @@
 	require.NoError(t, err)
 	tables, err := Tables(r)
 	require.NoError(t, err)
-	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "CAPACITY.md"))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "capacity-bench.md"))
 	require.NoError(t, err)
 	want, err := replaceTables(string(page), tables)
 	require.NoError(t, err)
-	require.Equal(t, want, string(page), "run: go run ./cmd/vanillalock bench --json docs/capacity.json --page docs/CAPACITY.md")
+	require.Equal(t, want, string(page), "run: go run ./cmd/vanillalock bench --json docs/capacity.json --page docs/capacity-bench.md")
 }
 
 // Guards against a committed result whose fitted lines do not match its samples or
