lead: grant leases for 10 s after the last confirmation of the term, whatever the longest lease

The two need not be equal: a lease is renewed, and the next leader only has to wait as long as the earlier one may have granted.

Change: that time is 10 s at least. For it, the tasks of a VM that the next leader cannot reach start elsewhere after 10.2 s, as on the other sites.

Ruled out: a longer time when other entries see the outage too; one that still reaches the store would be elected without knowing. TestTasksOutliveAnOutageLongerThanALease fails without the change.

--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -137,7 +137,7 @@
 // predecessor returns the bounds that the handover record states, or the safe ones
 // if the last leader has not stepped down or its record cannot be decoded.
 func (e *Entry) predecessor(handover fleet.Item, term uint64) predecessor {
-	p := predecessor{maxLease: maxLeaseDuration(e.opts.MaxLease)}
+	p := predecessor{maxLease: maxLeaseDuration(e.opts.termGrace())}
 	if handover.Revision == 0 {
 		return p
 	}
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -40,6 +40,10 @@
 	// startGrace is how long after its term was last confirmed a leader still
 	// orders starts. It bridges most outages of the store.
 	startGrace = 5 * time.Second
+	// minTermGrace is how long after its term was last confirmed a leader goes on to
+	// grant leases, at least. Tasks survive an outage of the store of that length. The
+	// next leader waits as long for VMs out of reach of which it knows no lists.
+	minTermGrace = 10 * time.Second
 )
 
 // maxRecords is the largest number of jobs in one commit. Each takes a condition
@@ -68,6 +72,11 @@
 	Metrics    *Metrics
 }
 
+// termGrace returns how long after its term was last confirmed a leader grants leases.
+// All entries have to use the same. No lease lasts longer than MaxLease, but leases
+// are renewed.
+func (o Options) termGrace() time.Duration { return max(o.MaxLease, minTermGrace) }
+
 // Leader is one term of leadership. Only its event loop, run, accesses its state;
 // other goroutines pass functions to the loop with post.
 type Leader struct {
@@ -283,9 +292,9 @@
 	}
 }
 
-// checkTerm ends a term that the store has not confirmed for the longest lease.
+// checkTerm ends a term that the store has not confirmed for termGrace.
 func (l *Leader) checkTerm(now time.Time) {
-	if now.Sub(l.verifiedAt) > l.opts.MaxLease {
+	if now.Sub(l.verifiedAt) > l.opts.termGrace() {
 		l.depose(fmt.Errorf("%w: the store has not confirmed the term for %v", errDeposed, now.Sub(l.verifiedAt).Round(time.Millisecond)))
 	}
 }
@@ -338,8 +347,8 @@
 	if link.pendingReport == 0 {
 		return 0
 	}
-	confirmed := time.Duration(float64(l.opts.MaxLease-l.unconfirmed(now)) * fleet.ClockRate)
-	ttl := min(executorLease, confirmed)
+	confirmed := time.Duration(float64(l.opts.termGrace()-l.unconfirmed(now)) * fleet.ClockRate)
+	ttl := min(executorLease, l.opts.MaxLease, confirmed)
 	if ttl <= 0 {
 		return 0
 	}
--- a/internal/fleet/lead/term_test.go
+++ b/internal/fleet/lead/term_test.go
@@ -50,3 +50,28 @@
 	err := l.run(context.Background())
 	require.ErrorContains(t, err, "index out of range")
 }
+
+// Guards against work that ends in an outage of the store that is longer than the
+// longest lease of the executors, and against a next leader that counts on shorter
+// leases than the one before may have granted.
+func TestTasksOutliveAnOutageLongerThanALease(t *testing.T) {
+	o := Options{MaxLease: 6 * time.Second}
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	l.opts.MaxLease = o.MaxLease
+	node, link := l.ledger.AddNode("vm"), newNodeLink("")
+	link.pendingReport = 1
+	confirmed := l.verifiedAt
+	for outage := time.Duration(0); outage < minTermGrace+time.Second; outage += 100 * time.Millisecond {
+		now := confirmed.Add(outage)
+		lease := l.grant(node, link, now)
+		require.LessOrEqual(t, lease, executorLease)
+		l.checkTerm(now)
+		if outage < minTermGrace {
+			require.Positive(t, lease, outage)
+			require.NoError(t, l.deposed)
+		}
+		e := NewEntry(o, nil, ConfigSource{})
+		require.False(t, node.LeaseUntil.After(confirmed.Add(e.predecessor(fleet.Item{}, 5).maxLease)), "a later leader takes the lease as expired after %v", outage)
+	}
+	require.ErrorIs(t, l.deposed, errDeposed)
+}
