--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -16,7 +16,6 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
-	"vanillalock.example/vanillalock/internal/fleet/tail"
 )
 
 // Intervals and limits of the leader.
@@ -120,7 +119,7 @@
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, Attempts: l.attempts, Log: l.logEvent})
-	l.planner = planner{ledger: l.ledger, policy: l.policyOf, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{}, budget: newStartBudget(o.LinkRate), holdsSpec: l.holdsSpec, orderedSpecs: map[specKey]struct{}{}}
+	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
 	return l
 }
 
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -63,6 +63,15 @@
 	lastMark       time.Time            // last selection of the VMs kept for filling tasks
 }
 
+// newPlanner returns a planner of the tasks of a ledger. The functions are those of the
+// fields policy and holdsSpec.
+func newPlanner(l *ledger.Ledger, policy func(*ledger.Job) fleet.Policy, budget startBudget, holdsSpec func(vm, job string) bool) planner {
+	return planner{
+		ledger: l, policy: policy, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{},
+		cache: map[string]*vmCacheEntry{}, budget: budget, holdsSpec: holdsSpec, orderedSpecs: map[specKey]struct{}{},
+	}
+}
+
 // vmCacheEntry caches the place.VM of a node. It is valid while the node and its
 // change count are the same.
 type vmCacheEntry struct {
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -11,7 +11,6 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
-	"vanillalock.example/vanillalock/internal/fleet/tail"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
@@ -31,11 +30,8 @@
 	l := &planFixture{now: startTime}
 	l.ledger = ledger.New(ledger.Options{Takeover: startTime, Attempts: func(*ledger.Job) int { return 2 }, Log: func(ledger.Event) {}})
 	policy := fleet.Policy{Pool: "pool", MaxAttempts: 2}
-	l.plan = planner{
-		ledger: l.ledger, policy: func(*ledger.Job) fleet.Policy { return policy },
-		estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{}, cache: map[string]*vmCacheEntry{},
-		budget: newStartBudget(0), holdsSpec: func(string, string) bool { return false }, orderedSpecs: map[specKey]struct{}{},
-	}
+	noSpec := func(string, string) bool { return false }
+	l.plan = newPlanner(l.ledger, func(*ledger.Job) fleet.Policy { return policy }, newStartBudget(0), noSpec)
 	for i := range vms {
 		l.ledger.AddNode(fmt.Sprintf("vm-%03d", i))
 	}
