lead, queue: what frees up goes to short tasks in time, then to lasting, then to late short ones

Clips wait 6.4 s on average for their first start, all of them until they are late.

Change: package queue orders waiting steps of one priority: short tasks of jobs that can still be in time, lasting tasks, short tasks that are late (for 30 s of their age at most). Filling tasks keep the order of their age.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -8,6 +8,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/place"
+	"vanillalock.example/vanillalock/internal/fleet/queue"
 	"vanillalock.example/vanillalock/internal/fleet/tail"
 )
 
@@ -98,7 +99,7 @@
 	if len(vms) == 0 {
 		return
 	}
-	p.sortReady(ready)
+	p.sortReady(ready, now)
 	clear(p.orderedSpecs)
 	failed := place.Failed{}
 	searches := 0
@@ -159,18 +160,47 @@
 	return n
 }
 
-// sortReady sorts steps by the priority of their queues, then by the acceptance time
-// of their jobs.
-func (p *planner) sortReady(ready []ledger.ReadyStep) {
-	priority := make(map[*ledger.Job]int, len(ready))
+// sortReady sorts steps into the order in which they get VMs.
+func (p *planner) sortReady(ready []ledger.ReadyStep, now time.Time) {
+	items := make(map[*ledger.Step]queue.Item, len(ready))
 	for _, r := range ready {
-		priority[r.Step.Job] = p.policy(r.Step.Job).Priority
+		job := r.Step.Job
+		policy := p.policy(job)
+		items[r.Step] = queue.Item{
+			Priority: policy.Priority, Lasting: r.Step.Spec.Lasting, Fills: r.Step.Spec.Fills,
+			Accepted: job.Accepted, Objective: objectiveOf(job, policy),
+		}
 	}
 	slices.SortStableFunc(ready, func(a, b ledger.ReadyStep) int {
-		return cmp.Or(cmp.Compare(priority[a.Step.Job], priority[b.Step.Job]), a.Step.Job.Accepted.Compare(b.Step.Job.Accepted))
+		return queue.Compare(items[a.Step], items[b.Step], now)
 	})
 }
 
+// objectiveOf returns the time from its acceptance in which a job is expected to end,
+// with an allowance for estimates that are too short; 0: none is known.
+func objectiveOf(job *ledger.Job, policy fleet.Policy) time.Duration {
+	const allowance = 1.5
+	chain := longestChain(job.Steps)
+	if chain == 0 || job.Repeats > 0 {
+		return 0
+	}
+	return time.Duration(allowance*policy.Stretch*float64(chain)) + policy.Objective
+}
+
+// longestChain returns the estimated time of the longest chain of dependent steps.
+func longestChain(steps []fleet.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for i, s := range steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // preempt stops filling tasks of lower priority to free the memory that a task
 // needs, on the VM where the fewest have to be stopped.
 func (p *planner) preempt(task *place.Task, step *ledger.Step, vms []*place.VM, nodes []*ledger.Node, now time.Time) {
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -230,3 +230,32 @@
 	require.Equal(t, first.Changes(), again.Changes())
 	require.Zero(t, l.plan.cachedVM("vm-000", again, l.now).Reserved)
 }
+
+// Guards against clips that wait behind lasting tasks for the capacity that frees up,
+// and against estimates of chains that leave out dependencies.
+func TestShortTasksGetWhatFreesUp(t *testing.T) {
+	l := newPlanFixture(1)
+	l.plan.policy = func(*ledger.Job) fleet.Policy {
+		return fleet.Policy{Pool: "pool", MaxAttempts: 2, Stretch: 1.5, Objective: 300 * time.Millisecond}
+	}
+	feed := fleet.Step{Count: 6, Need: structs.Resources{MilliCPU: 6400, MemoryMB: 13000}, Lasting: true, Image: "feed", TailTarget: 50 * time.Millisecond}
+	l.submit("feed", feed) // 5 of its tasks fit on 32 cores
+	l.plan.plan(l.now)
+	l.list()
+	l.now = l.now.Add(time.Second)
+	l.submit("clip", fleet.Step{Count: 4, Estimate: 540 * time.Millisecond, Need: structs.Resources{MilliCPU: 1500, MemoryMB: 2000}})
+	n := l.ledger.Nodes["vm-000"]
+	ended := fleet.TaskID{Job: "feed", Index: 0}
+	require.Contains(t, n.Runs, ended)
+	l.ledger.Report(n, ledger.Report{Executor: &n.Executor, Listed: true, Ended: []fleet.End{{Number: 1, Task: ended, Run: 1, Reason: fleet.EndFailed}}}, l.now)
+	l.plan.plan(l.now)
+	clips := 0
+	for id := range n.Runs {
+		if id.Job == "clip" {
+			clips++
+		}
+	}
+	require.Equal(t, 4, clips)
+
+	require.Equal(t, 3*time.Second, longestChain([]fleet.Step{{Estimate: time.Second}, {Estimate: 5 * time.Second / 2}, {Estimate: 2 * time.Second, After: []int{0}}}))
+}
