--- a/internal/fleet/lead/answer.go
+++ b/internal/fleet/lead/answer.go
@@ -18,7 +18,7 @@
 	select {
 	case reply := <-replies:
 		if reply == nil {
-			return nil, errors.New("question not understood")
+			return nil, errors.New("no answer to this question")
 		}
 		return reply, nil
 	case <-ctx.Done():
@@ -26,7 +26,8 @@
 	}
 }
 
-// reply handles an entry's request. It returns nil if the kind is unknown.
+// reply handles an entry's request. It returns nil if the kind is unknown or the answer
+// is not known yet.
 func (l *Leader) reply(q *pb.FleetAsk) *pb.FleetReply {
 	now := time.Now()
 	switch q.GetKind() {
@@ -43,6 +44,9 @@
 		}
 		return &pb.FleetReply{State: string(job.VisibleState())}
 	case link.AskWaiting:
+		if !l.loaded { // the count would be too low
+			return nil
+		}
 		return &pb.FleetReply{Waiting: uint32(l.ledger.Waiting(q.GetQueue()))}
 	default:
 		return nil
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -95,7 +95,8 @@
 	began       time.Time
 	predecessor predecessor
 
-	commits         int // in flight
+	loaded          bool // the state has been read from the store
+	commits         int  // in flight
 	commitAfter     time.Time
 	lastMaintenance time.Time
 	deposed         error
@@ -169,6 +170,7 @@
 	if err != nil {
 		return fmt.Errorf("load the state: %w", err)
 	}
+	l.loaded = true
 	l.opts.Log.Info("Leading.", "term", l.term, "jobs", len(l.ledger.Jobs), "vms", len(l.ledger.Nodes), "loaded", time.Since(l.began), "earlier leases", l.predecessor.maxLease)
 	go l.watch(ctx, revision)
 	for name, link := range l.links {
--- a/internal/fleet/lead/load_test.go
+++ b/internal/fleet/lead/load_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/kv"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
+	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
 // slowStore is a store whose pages take a time, and of which the first ones fail.
@@ -109,3 +111,20 @@
 	require.Len(t, large.Items, 1)
 	require.False(t, large.More)
 }
+
+// Guards against a count of waiting jobs that is given while the jobs are still being
+// read, and so is too low.
+func TestWaitingIsNotAnsweredDuringTheLoad(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 3)
+	question := &pb.FleetAsk{Kind: link.AskWaiting}
+	require.Nil(t, l.reply(question))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- l.run(ctx) }()
+	require.Eventually(t, func() bool {
+		reply, err := l.answer(ctx, question)
+		return err == nil && reply.GetWaiting() == 3
+	}, 10*time.Second, time.Millisecond)
+	cancel()
+	<-ended
+}
--- a/internal/fleet/lead/stall.go
+++ b/internal/fleet/lead/stall.go
@@ -18,12 +18,13 @@
 	longRunFactor = 10
 	// minPaceSample is the progress in percent from which on a run's own speed counts.
 	minPaceSample = 5
+	fullPace      = 100 // percent
 )
 
 // isStalled reports whether a run has made no progress for far longer than its speed,
 // or else its estimate, explains.
 func isStalled(r *ledger.Run, now time.Time) bool {
-	if r.Task == nil || r.State != ledger.Running || r.Task.Step.Spec.Lasting || r.PaceNow() < startedUpPercent {
+	if r.Task == nil || r.State != ledger.Running || r.Task.Step.Spec.Lasting || r.PaceNow() < fullPace {
 		return false
 	}
 	quiet := now.Sub(maxTime(r.ProgressedAt, maxTime(r.PaceSince, r.Since)))
