--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -403,11 +403,6 @@
 // applies its advice: it sets the paces of the filling tasks, stops those paused
 // too long and notes those to be moved.
 func (p *planner) applyReport(n *ledger.Node, now time.Time) {
-	for _, r := range n.Runs {
-		if isStalled(r, now) {
-			p.ledger.StopStalled(r, now)
-		}
-	}
 	runs, filling, serving := tasksOf(n, now)
 	p.estimator.Observe(n.Name, filling, serving, now)
 	for i, advice := range p.estimator.Advise(filling, serving) {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -470,13 +470,6 @@
 	l.log(Event{What: "stop", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: reason})
 }
 
-// StopStalled orders the stop of a run that stands still on a VM on which others may
-// stand still too.
-func (l *Ledger) StopStalled(r *Run, now time.Time) {
-	l.Stop(r, "stands still")
-	r.Node.addTrouble(1, now)
-}
-
 // PaceNow returns the pace of the run in percent. An unknown pace counts as full.
 func (r *Run) PaceNow() int {
 	if r.Pace == unknownPace {
