lead: a key of the leader in the tests of the load

Without it the leader of TestWaitingIsNotAnsweredDuringTheLoad lost its term at its first confirmation, and the test failed in 5 of 6 plays.

--- a/internal/fleet/lead/load_test.go
+++ b/internal/fleet/lead/load_test.go
@@ -47,11 +47,13 @@
 		require.NoError(t, err)
 	}
 	s.Store = backend
+	term, err := backend.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.LeaderKey}}})
+	require.NoError(t, err)
 	store := &relayStore{Store: s, relay: func(context.Context, storeCall) (storeReply, error) {
 		return storeReply{}, kv.ErrUncertain
 	}}
 	o := Options{Store: store, MaxLease: 10 * time.Second, Config: func() *fleet.Config { return nil }, Log: log.New(io.Discard), Metrics: NewMetrics(t.Name())}
-	return newLeader(o, 1, 1, time.Now(), predecessor{})
+	return newLeader(o, term, 1, time.Now(), predecessor{})
 }
 
 // Guards against a fleet that never gets a leader again because its state takes longer
