lead: requests of entries wait until the state is read

Since the state is read in pages, a new leader handled requests in between: a notice of a cancellation whose job it had not read yet was dropped, and entries answered from the store meanwhile.

TestRequestsWaitForTheLoad (in place of TestWaitingIsNotAnsweredDuringTheLoad, which it contains) fails without it: the cancellation is lost.

--- a/internal/fleet/lead/answer.go
+++ b/internal/fleet/lead/answer.go
@@ -9,8 +9,15 @@
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
-// answer answers an entry's request in the leader's event loop.
+// answer answers an entry's request in the leader's event loop. Requests wait until the
+// state is read: before, a cancellation of a job that is not known yet would be lost,
+// and waiting jobs counted too low.
 func (l *Leader) answer(ctx context.Context, q *pb.FleetAsk) (*pb.FleetReply, error) {
+	select {
+	case <-l.loaded:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	replies := make(chan *pb.FleetReply, 1)
 	if !l.post(ctx, func() { replies <- l.reply(q) }) {
 		return nil, ctx.Err()
@@ -26,8 +33,7 @@
 	}
 }
 
-// reply handles an entry's request. It returns nil if the kind is unknown or the answer
-// is not known yet.
+// reply handles an entry's request. It returns nil if the kind is unknown.
 func (l *Leader) reply(q *pb.FleetAsk) *pb.FleetReply {
 	now := time.Now()
 	switch q.GetKind() {
@@ -44,9 +50,6 @@
 		}
 		return &pb.FleetReply{State: string(job.VisibleState())}
 	case link.AskWaiting:
-		if !l.loaded { // the count would be too low
-			return nil
-		}
 		return &pb.FleetReply{Waiting: uint32(l.ledger.Waiting(q.GetQueue()))}
 	default:
 		return nil
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -95,8 +95,8 @@
 	began       time.Time
 	predecessor predecessor
 
-	loaded          bool // the state has been read from the store
-	commits         int  // in flight
+	loaded          chan struct{} // closed once the state is read from the store
+	commits         int           // in flight
 	commitAfter     time.Time
 	lastMaintenance time.Time
 	deposed         error
@@ -115,7 +115,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), links: map[string]*nodeLink{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), links: map[string]*nodeLink{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
@@ -170,7 +170,7 @@
 	if err != nil {
 		return fmt.Errorf("load the state: %w", err)
 	}
-	l.loaded = true
+	close(l.loaded)
 	l.opts.Log.Info("Leading.", "term", l.term, "jobs", len(l.ledger.Jobs), "vms", len(l.ledger.Nodes), "loaded", time.Since(l.began), "earlier leases", l.predecessor.maxLease)
 	go l.watch(ctx, revision)
 	for name, link := range l.links {
--- a/internal/fleet/lead/load_test.go
+++ b/internal/fleet/lead/load_test.go
@@ -114,19 +114,24 @@
 	require.False(t, large.More)
 }
 
-// Guards against a count of waiting jobs that is given while the jobs are still being
-// read, and so is too low.
-func TestWaitingIsNotAnsweredDuringTheLoad(t *testing.T) {
-	l := newLoadingLeader(t, &slowStore{}, 3)
-	question := &pb.FleetAsk{Kind: link.AskWaiting}
-	require.Nil(t, l.reply(question))
+// Guards against requests that are handled while the state is still being read: the
+// count of waiting jobs would be too low, and a cancellation of a job that is not known
+// yet would be lost, so that the job is shown as running after it was cancelled.
+func TestRequestsWaitForTheLoad(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{delay: 50 * time.Millisecond}, 3)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error)
+	cancelled := make(chan error, 1)
+	go func() {
+		_, err := l.answer(ctx, &pb.FleetAsk{Kind: link.AskCancelled, Id: fmt.Sprintf("%016x", 0)})
+		cancelled <- err
+	}()
+	time.Sleep(10 * time.Millisecond) // the request comes before the load
+	ended := make(chan error, 1)
 	go func() { ended <- l.run(ctx) }()
-	require.Eventually(t, func() bool {
-		reply, err := l.answer(ctx, question)
-		return err == nil && reply.GetWaiting() == 3
-	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, <-cancelled)
+	reply, err := l.answer(ctx, &pb.FleetAsk{Kind: link.AskWaiting})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, reply.GetWaiting())
 	cancel()
 	<-ended
 }
