lead: check the start budget in one place

Found in a last read of the change: plan and startTasks both asked whether the budget is spent. startTasks alone decides now; a step that finds it spent starts nothing and is not passed on to preemption, as before. The comment of termReader said that events are handled before a page; it is after it. No behaviour changes; tests of the planner and the load pass.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -73,7 +73,7 @@
 }
 
 // termReader is a store whose pages are read again after a failure until the term
-// ends. Before each page it handles the events of the leader, such as the
+// ends. After each page it handles the events of the leader, such as the
 // confirmations of its term.
 type termReader struct {
 	fleet.Store
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -104,9 +104,6 @@
 	failed := place.Failed{}
 	searches := 0
 	for _, r := range ready {
-		if !p.budget.open(now) {
-			return // the tick plans again
-		}
 		left := p.startTasks(r, vms, nodes, failed, now)
 		if left == nil || left.Fills || searches == maxPreemptSearches {
 			continue
@@ -117,7 +114,8 @@
 }
 
 // startTasks starts the ready tasks of a step until one of them fits on no VM. It
-// returns that one, or nil.
+// returns that one, or nil. It starts none while the budget is spent; the tick plans
+// again.
 func (p *planner) startTasks(r ledger.ReadyStep, vms []*place.VM, nodes []*ledger.Node, failed place.Failed, now time.Time) *place.Task {
 	var ranking *place.Ranking
 	var ranked place.Task // the task that ranking is for
