--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -215,6 +215,7 @@
 			l.opts.Log.Warn("The store has dropped the history after this revision, reading all keys again.", "after", after)
 			var items []fleet.Item
 			items, next, err = fleet.ReadAll(ctx, l.opts.Store, fleet.WatchedBase)
+			l.opts.Log.Info("Keys read again.", "keys", len(items), "revision", next, "err", err)
 			for _, item := range items {
 				changes = append(changes, fleet.Change{Item: item})
 			}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -345,6 +345,7 @@
 func (l *Ledger) Cancel(id string, now time.Time) bool {
 	job := l.Jobs[id]
 	if job == nil {
+		l.log(Event{What: "cancellation of a job that is not known", Task: fleet.TaskID{Job: id}})
 		return false
 	}
 	if job.Final == "" {
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -234,6 +234,7 @@
 		if job.Final != "" && job.storedVersion >= job.version && now.Sub(job.FinalAt) > keep {
 			ids = append(ids, id)
 			delete(l.Jobs, id)
+			l.log(Event{What: "job forgotten", Task: fleet.TaskID{Job: id}, Reason: string(job.Final)})
 		}
 	}
 	return ids
