--- /dev/null
+++ b/internal/fleet/lead/watch_test.go
@@ -0,0 +1,62 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+)
+
+// forgetfulStore is a store that has dropped its history before the first watch.
+type forgetfulStore struct {
+	fleet.Store
+	watches int
+}
+
+func (s *forgetfulStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	if s.watches++; s.watches == 1 {
+		return nil, after, fleet.ErrCompacted
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// missChanges lets a loaded leader miss some changes of the store, as their history is
+// dropped, and then read the keys again.
+func missChanges(t *testing.T, l *Leader, s *slowStore, change func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	revision, err := l.load(ctx)
+	require.NoError(t, err)
+	change()
+	s.Store = &forgetfulStore{Store: s.Store}
+	go l.watch(ctx, revision)
+	l.handle(<-l.events)
+}
+
+func jobRecord(id string) fleet.Write {
+	return fleet.Write{Key: fleet.JobBase + id, Value: fmt.Appendf(nil, `{"id":%q,"steps":[{"count":1}]}`, id)}
+}
+
+// Guards against a job that runs on after it was accepted and cancelled while the
+// history was dropped.
+func TestJobCancelledWhileHistoryIsDroppedStaysCancelled(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 0)
+	missChanges(t, l, s, func() {
+		for _, w := range []fleet.Write{jobRecord("cancelled"), {Key: fleet.CancelBase + "cancelled"}, jobRecord("wanted")} {
+			_, err := s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{w}})
+			require.NoError(t, err)
+		}
+	})
+	require.Equal(t, ledger.Cancelled, l.ledger.Jobs["cancelled"].VisibleState())
+	require.Equal(t, ledger.Queued, l.ledger.Jobs["wanted"].VisibleState())
+	l.ledger.Tick(time.Now().Add(time.Minute))
+	ready := l.ledger.Ready(time.Now())
+	require.Len(t, ready, 1)
+	require.Equal(t, "wanted", ready[0].ID.Job)
+}
