ledger: keep a cancellation that comes before its job

Callers saw tasks of jobs whose cancellation had been acknowledged start seconds later and run to their end (UNASKED). Cause: the ledger dropped a cancellation of a job that it did not know. Jobs and cancellations reach it in any order: a notice of an entry overtakes the watch when the job's submission was uncertain or its own notice was lost, and a second reading of the keys has cancel/ before job/. Only the load of a new leader put cancellations last. Change: the ledger keeps such cancellations and applies them when their job is added, whatever brings either. The load needs no order of its own any more. Cancellations whose job never comes are dropped after the retention of final states.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -32,17 +32,10 @@
 	for _, item := range progress {
 		progressOf[strings.TrimPrefix(item.Key, fleet.ProgressBase)] = item
 	}
-	// The items are sorted by key, cancellations before jobs. A cancellation needs
-	// its job in the ledger, so cancellations are applied last.
 	for _, item := range items {
 		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok {
 			l.restoreJob(ctx, id, item, progressOf, now)
-		} else if !strings.HasPrefix(item.Key, fleet.CancelBase) {
-			l.apply(ctx, fleet.Change{Item: item}, true, now)
-		}
-	}
-	for _, item := range items {
-		if strings.HasPrefix(item.Key, fleet.CancelBase) {
+		} else {
 			l.apply(ctx, fleet.Change{Item: item}, true, now)
 		}
 	}
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -10,6 +10,8 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
 // forgetfulStore is a store that has dropped its history before the first watch.
@@ -60,3 +62,15 @@
 	require.Len(t, ready, 1)
 	require.Equal(t, "wanted", ready[0].ID.Job)
 }
+
+// Guards against a job that runs on after the notice of its cancellation came to the
+// leader before the job.
+func TestNoticeOfACancellationBeforeItsJob(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	job := jobRecord("cancelled")
+	l.reply(&pb.FleetAsk{Kind: link.AskCancelled, Id: "cancelled"})
+	l.reply(&pb.FleetAsk{Kind: link.AskAccepted, Id: "cancelled", Job: job.Value, Revision: l.term + 1})
+	require.Equal(t, ledger.Cancelled, l.ledger.Jobs["cancelled"].VisibleState())
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -213,6 +213,8 @@
 	openSteps   map[*Step]struct{} // steps whose tasks may start
 	unstored    []*Job             // jobs with progress to be stored, longest first
 	pending     map[*Node]struct{} // nodes with a report, orders or acknowledgements since the last TakePending
+	// cancelledEarly holds the times of cancellations of jobs that are not known yet.
+	cancelledEarly map[string]time.Time
 }
 
 // Options configure a Ledger.
@@ -231,6 +233,7 @@
 	return &Ledger{
 		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease,
 		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
+		cancelledEarly: map[string]time.Time{},
 	}
 }
 
@@ -257,6 +260,10 @@
 	if j.Repeats > 0 {
 		slices.SortFunc(l.scheduled, func(a, b *Occurrence) int { return a.Due.Compare(b.Due) })
 	}
+	if _, cancelled := l.cancelledEarly[j.ID]; cancelled {
+		delete(l.cancelledEarly, j.ID)
+		l.Cancel(j.ID, now)
+	}
 	return job
 }
 
@@ -341,10 +348,12 @@
 }
 
 // Cancel cancels a job at its caller's request, unless its state is final. It
-// reports whether the job is known.
+// reports whether the job is known. One that is not known yet is cancelled when it is
+// added, as notices and keys reach the ledger in any order.
 func (l *Ledger) Cancel(id string, now time.Time) bool {
 	job := l.Jobs[id]
 	if job == nil {
+		l.cancelledEarly[id] = now
 		l.log(Event{What: "cancellation of a job that is not known", Task: fleet.TaskID{Job: id}})
 		return false
 	}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -270,6 +270,40 @@
 	require.Equal(t, []RunRef{{taskOf("job"), 2}}, orders.Stops)
 }
 
+// Guards against a job that runs although its cancellation reached the ledger first.
+func TestJobCancelledBeforeItIsKnownDoesNotRun(t *testing.T) {
+	w := newFixture(t, "a")
+	require.False(t, w.ledger.Cancel("job", w.now))
+	job := w.add("job", false, one())
+	require.Equal(t, Cancelled, job.VisibleState())
+	require.Empty(t, w.ready())
+}
+
+// Guards against a final state that is lost, or written on the wrong revision, when a
+// new leader reads the cancellation of a job before its progress.
+func TestCancellationReadBeforeTheProgressIsStored(t *testing.T) {
+	w := newFixture(t, "a")
+	w.ledger.Cancel("job", w.now)
+	w.add("job", true, fleet.Step{Count: 2})
+	require.NoError(t, w.ledger.Restore("job", []byte(`{"tasks":[{"r":1,"d":true}]}`), 5, w.now))
+	require.Equal(t, Cancelled, w.ledger.Jobs["job"].VisibleState())
+	records, err := w.ledger.Dirty(1)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	require.EqualValues(t, 5, records[0].Revision)
+	require.JSONEq(t, `{"final":"cancelled"}`, string(records[0].Value))
+}
+
+// Guards against memory that grows with cancellations of jobs that are gone.
+func TestCancellationOfAJobThatNeverComesIsDropped(t *testing.T) {
+	w := newFixture(t)
+	w.ledger.Cancel("gone", w.now)
+	w.ledger.Forget(time.Minute, w.now.Add(time.Minute))
+	require.Len(t, w.ledger.cancelledEarly, 1)
+	w.ledger.Forget(time.Minute, w.now.Add(time.Minute+1))
+	require.Empty(t, w.ledger.cancelledEarly)
+}
+
 // Guards against tasks that never start again after their executor is replaced by
 // a new instance.
 func TestNewInstanceOfAnExecutorFreesItsTasks(t *testing.T) {
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -227,8 +228,10 @@
 }
 
 // Forget removes the jobs whose final state is stored and older than keep, and
-// returns their ids.
+// returns their ids. It drops the cancellations of jobs that have not become known for
+// as long.
 func (l *Ledger) Forget(keep time.Duration, now time.Time) []string {
+	maps.DeleteFunc(l.cancelledEarly, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
 	var ids []string
 	for id, job := range l.Jobs {
 		if job.Final != "" && job.storedVersion >= job.version && now.Sub(job.FinalAt) > keep {
