lead: read the progress again too after the store has dropped its history

Cause: after a dropped history the leader read the watched keys only, and added each job that its ledger lacked. The ledger lacks a job from its retention's end until its records are deleted, which waits for commits in flight. The load of a new leader reads the progress first and takes over final states. Change: the load and the second reading are the same code now (readState, restore); the second one applies only what is not known. The watch has a file of its own, and logs what the second reading brought. Test: TestForgottenJobDoesNotRunAgainAfterDroppedHistory fails on the code before (2 ready tasks instead of 1).

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"strings"
 	"time"
 
@@ -15,42 +14,61 @@
 )
 
 // load restores the ledger from the store: jobs, cancellations, VMs and progress. It
-// returns the revision from which to watch for changes. Progress is read first, so
-// that the tasks of ended jobs, which are most of the jobs, are never made. No other
-// leader can store progress in the meantime.
+// returns the revision from which to watch for changes.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
-	progress, _, err := l.readAll(ctx, fleet.ProgressBase)
+	state, err := readState(ctx, &termReader{l.opts.Store, l})
 	if err != nil {
 		return 0, err
 	}
-	items, revision, err := l.readAll(ctx, fleet.WatchedBase)
+	now := time.Now()
+	l.restore(ctx, state, true, now)
+	l.loadLearned(ctx, now)
+	return state.revision, nil
+}
+
+// storedState is the state of the fleet in the store.
+type storedState struct {
+	items    []fleet.Item          // of the watched keys
+	progress map[string]fleet.Item // by job
+	revision uint64                // a watch after it misses no later change of the items
+}
+
+// readState reads the state of the fleet. Progress is read first, so that an ended job,
+// whose records are deleted together, is never read without its final state. No other
+// leader can store progress in the meantime.
+func readState(ctx context.Context, s fleet.Store) (storedState, error) {
+	progress, _, err := fleet.ReadAll(ctx, s, fleet.ProgressBase)
 	if err != nil {
-		return 0, err
+		return storedState{}, err
 	}
-	now := time.Now()
-	progressOf := make(map[string]fleet.Item, len(progress))
+	state := storedState{progress: make(map[string]fleet.Item, len(progress))}
 	for _, item := range progress {
-		progressOf[strings.TrimPrefix(item.Key, fleet.ProgressBase)] = item
+		state.progress[strings.TrimPrefix(item.Key, fleet.ProgressBase)] = item
 	}
-	for _, item := range items {
-		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok {
-			l.restoreJob(ctx, id, item, progressOf, now)
-		} else {
-			l.apply(ctx, fleet.Change{Item: item}, true, now)
+	state.items, state.revision, err = fleet.ReadAll(ctx, s, fleet.WatchedBase)
+	return state, err
+}
+
+// restore applies what was read from the store, as far as it is not known yet. The tasks
+// of ended jobs, which are most of the jobs, are not made.
+func (l *Leader) restore(ctx context.Context, state storedState, loading bool, now time.Time) {
+	for _, item := range state.items {
+		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok && l.ledger.Jobs[id] == nil {
+			l.restoreJob(ctx, id, item, state.progress, loading, now)
+		} else if !ok {
+			l.apply(ctx, fleet.Change{Item: item}, loading, now)
 		}
 	}
-	l.loadLearned(ctx, now)
-	return revision, nil
 }
 
 // restoreJob adds a stored job with its progress.
-func (l *Leader) restoreJob(ctx context.Context, id string, item fleet.Item, progress map[string]fleet.Item, now time.Time) {
+func (l *Leader) restoreJob(ctx context.Context, id string, item fleet.Item, progress map[string]fleet.Item, loading bool, now time.Time) {
 	p, known := progress[id]
 	if state, err := ledger.StoredState(p.Value); known && err == nil && state.IsFinal() {
 		l.ledger.AddFinal(id, state, p.Revision, now)
 		return
 	}
-	l.apply(ctx, fleet.Change{Item: item}, true, now)
+	l.apply(ctx, fleet.Change{Item: item}, loading, now)
 	if !known {
 		return
 	}
@@ -59,15 +77,9 @@
 	}
 }
 
-// readAll is fleet.ReadAll for the load of the state. It repeats failed pages for as
-// long as the term lasts, as the next leader would have to read the same.
-func (l *Leader) readAll(ctx context.Context, prefix string) ([]fleet.Item, uint64, error) {
-	return fleet.ReadAll(ctx, &termReader{l.opts.Store, l}, prefix)
-}
-
-// termReader is a store whose pages are read again after a failure until the term
-// ends. After each page it handles the events of the leader, such as the
-// confirmations of its term.
+// termReader is a store for the load of the state. Its pages are read again after a
+// failure until the term ends, as the next leader would have to read the same. After
+// each page it handles the events of the leader, such as the confirmations of its term.
 type termReader struct {
 	fleet.Store
 	leader *Leader
@@ -198,33 +210,3 @@
 		go n.run(ctx, l, name)
 	}
 }
-
-// watch posts the changes of the watched keys after a revision to the event loop,
-// until ctx ends.
-func (l *Leader) watch(ctx context.Context, after uint64) {
-	for ctx.Err() == nil {
-		changes, next, err := l.opts.Store.Watch(ctx, fleet.WatchedBase, after, watchWait)
-		if errors.Is(err, fleet.ErrCompacted) {
-			l.opts.Log.Warn("The store has dropped the history after this revision, reading all keys again.", "after", after)
-			var items []fleet.Item
-			items, next, err = fleet.ReadAll(ctx, l.opts.Store, fleet.WatchedBase)
-			l.opts.Log.Info("Keys read again.", "keys", len(items), "revision", next, "err", err)
-			for _, item := range items {
-				changes = append(changes, fleet.Change{Item: item})
-			}
-		}
-		if err != nil {
-			fleet.Sleep(ctx, watchRetry)
-			continue
-		}
-		after = next
-		if len(changes) > 0 {
-			l.post(ctx, func() {
-				now := time.Now()
-				for _, c := range changes {
-					l.apply(ctx, c, false, now)
-				}
-			})
-		}
-	}
-}
--- /dev/null
+++ b/internal/fleet/lead/watch.go
@@ -0,0 +1,51 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+)
+
+// watch posts the changes of the watched keys after a revision to the event loop,
+// until ctx ends.
+func (l *Leader) watch(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		changes, next, err := l.opts.Store.Watch(ctx, fleet.WatchedBase, after, watchWait)
+		if errors.Is(err, fleet.ErrCompacted) {
+			next, err = l.reload(ctx, after)
+		}
+		if err != nil {
+			fleet.Sleep(ctx, watchRetry)
+			continue
+		}
+		after = next
+		if len(changes) > 0 {
+			l.post(ctx, func() {
+				now := time.Now()
+				for _, c := range changes {
+					l.apply(ctx, c, false, now)
+				}
+			})
+		}
+	}
+}
+
+// reload reads the state again after the store has dropped the history of the changes
+// after a revision, and posts what is new to the event loop. It returns the revision
+// from which to watch for changes.
+func (l *Leader) reload(ctx context.Context, after uint64) (uint64, error) {
+	l.opts.Log.Warn("The store has dropped the history after this revision, reading the state again.", "after", after)
+	state, err := readState(ctx, l.opts.Store)
+	if err != nil {
+		l.opts.Log.Warn("State not read again.", "err", err)
+		return 0, err
+	}
+	l.post(ctx, func() {
+		jobs := len(l.ledger.Jobs)
+		l.restore(ctx, state, false, time.Now())
+		l.opts.Log.Info("State read again.", "keys", len(state.items), "revision", state.revision, "new jobs", len(l.ledger.Jobs)-jobs)
+	})
+	return state.revision, nil
+}
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -74,3 +74,26 @@
 	l.reply(&pb.FleetAsk{Kind: link.AskAccepted, Id: "cancelled", Job: job.Value, Revision: l.term + 1})
 	require.Equal(t, ledger.Cancelled, l.ledger.Jobs["cancelled"].VisibleState())
 }
+
+// Guards against a job that ends and is forgotten, and then runs again because its
+// records were still there when the keys were read again.
+func TestForgottenJobDoesNotRunAgainAfterDroppedHistory(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 1)
+	id := fmt.Sprintf("%016x", 0)
+	missChanges(t, l, s, func() {
+		l.ledger.Cancel(id, time.Now())
+		records, err := l.ledger.Dirty(1)
+		require.NoError(t, err)
+		revision, err := s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.ProgressBase + id, Value: records[0].Value}}})
+		require.NoError(t, err)
+		l.ledger.Stored(records, revision)
+		require.Equal(t, []string{id}, l.ledger.Forget(0, time.Now().Add(time.Second)))
+		_, err = s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{jobRecord("new")}})
+		require.NoError(t, err)
+	})
+	l.ledger.Tick(time.Now().Add(time.Minute))
+	ready := l.ledger.Ready(time.Now())
+	require.Len(t, ready, 1)
+	require.Equal(t, "new", ready[0].ID.Job)
+}
