lead: remove the VMs whose registrations went while the history was dropped

Operators saw a leader that dialled a VM that had left for the rest of its term, and logged every 3 s that it had removed it. Cause: a second reading of the keys shows what is there, not what was deleted since; the removal of a registration reached the leader by the watch alone, and that history was gone. Change: a VM without a registration in the state that was read again is removed as by a watch. Test: TestVMRemovedWhileHistoryIsDroppedIsForgotten fails on the code before.

--- a/internal/fleet/lead/watch.go
+++ b/internal/fleet/lead/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -45,7 +46,24 @@
 	l.post(ctx, func() {
 		jobs := len(l.ledger.Jobs)
 		l.restore(ctx, state, false, time.Now())
+		l.removeUnregistered(ctx, state)
 		l.opts.Log.Info("State read again.", "keys", len(state.items), "revision", state.revision, "new jobs", len(l.ledger.Jobs)-jobs)
 	})
 	return state.revision, nil
 }
+
+// removeUnregistered removes the VMs whose registrations are not part of the state that
+// was read again: they were deleted meanwhile.
+func (l *Leader) removeUnregistered(ctx context.Context, state storedState) {
+	registered := map[string]struct{}{}
+	for _, item := range state.items {
+		if name, ok := strings.CutPrefix(item.Key, fleet.NodeBase); ok {
+			registered[name] = struct{}{}
+		}
+	}
+	for name := range l.links {
+		if _, ok := registered[name]; !ok {
+			l.applyNode(ctx, name, fleet.Change{Removed: true}, false)
+		}
+	}
+}
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -97,3 +97,21 @@
 	require.Len(t, ready, 1)
 	require.Equal(t, "new", ready[0].ID.Job)
 }
+
+// Guards against a VM that is kept forever, and dialled again and again, because its
+// registration was removed while the history was dropped.
+func TestVMRemovedWhileHistoryIsDroppedIsForgotten(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 0)
+	for _, vm := range []string{"gone", "stays"} {
+		_, err := s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.NodeBase + vm, Value: []byte(`{"address":"127.0.0.1:1"}`)}}})
+		require.NoError(t, err)
+	}
+	missChanges(t, l, s, func() {
+		_, err := s.Commit(context.Background(), fleet.Txn{Delete: []string{fleet.NodeBase + "gone"}})
+		require.NoError(t, err)
+	})
+	require.NotContains(t, l.links, "gone")
+	require.NotContains(t, l.ledger.Nodes, "gone")
+	require.Contains(t, l.links, "stays")
+}
