ledger: repeat the stop of a run that is still listed after a reconnection

Cause: orders in flight are lost when the session with an agent ends: frames in the leader's outbox, and calls that the agent cancels. With the first lists of the next session the ledger repeated only the orders of runs that the executor does not list. A run whose stop was lost is listed, so its stop was not repeated, its state stayed 'stopping', and nothing looked at it again. Sessions end without a change of the leader when connections are reset, and when the path to an agent is cut for 1.5 s or more, but not for as long as a lease.

The stop of every run in this state is now repeated with the first lists of a session. The agent drops a second order for the same stop, and an executor answers a stop of a stopping run like the first.

TestStopOfAListedRunIsRepeatedAfterAReconnection failed before: no stop order after the reconnection.

--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -320,6 +320,25 @@
 	require.Equal(t, 1, orders.Starts[0].Run)
 }
 
+// Guards against a run that goes on after its job was cancelled because its stop order
+// was lost with the session, while the executor lists it.
+func TestStopOfAListedRunIsRepeatedAfterAReconnection(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one())
+	w.start("a")
+	w.list("a", runningOf(taskOf("job"), 1))
+	require.True(t, w.ledger.Cancel("job", w.now))
+	w.node("a").TakeOrders()
+	w.ledger.Disconnected(w.node("a"))
+	w.list("a", runningOf(taskOf("job"), 1))
+	orders, _ := w.node("a").TakeOrders()
+	require.Equal(t, []RunRef{{taskOf("job"), 1}}, orders.Stops)
+	w.list("a", runningOf(taskOf("job"), 1))
+	orders, _ = w.node("a").TakeOrders()
+	require.Empty(t, orders.Stops, "the agent repeats it within the session")
+}
+
 // Guards against progress that a new leader reads differently from what the
 // earlier one stored.
 func TestProgressSurvivesALeader(t *testing.T) {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -189,20 +189,22 @@
 			l.closeRun(run, "not listed", now.Add(retryDelay))
 			continue
 		}
-		if first && run.lastListing != n.listings {
+		if first && (run.lastListing != n.listings || run.State == Stopping) {
 			l.repeatOrder(run)
 		}
 	}
 }
 
-// repeatOrder repeats the order for a run, whose result was lost with the last
-// session. A run that was running is closed if it stays unlisted.
+// repeatOrder repeats the order for a run, which may be lost with the last session.
+// A run that was running is closed if it stays unlisted.
 func (l *Ledger) repeatOrder(r *Run) {
 	switch {
 	case r.State == Starting && r.Task != nil:
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
-		r.Node.orders.Stops = append(r.Node.orders.Stops, RunRef{r.ID, r.Number})
+		if ref := (RunRef{r.ID, r.Number}); !slices.Contains(r.Node.orders.Stops, ref) {
+			r.Node.orders.Stops = append(r.Node.orders.Stops, ref)
+		}
 	case r.State == Running && r.absentFrom == 0:
 		r.absentFrom = r.Node.listings + absenceListings
 	}
