tail: keep filling tasks halted until the task is under its target

Callers see a serving task over its target for more than 4 s beside filling tasks that work (HARM), without any impairment.

Cause: after 2 s over the target every filling task of the VM is halted, but not at a reading that is a tenth below the one before (a task that recovers, which is no evidence). The halt itself makes the task recover, so the next reading released the filling tasks at full pace, the one after halted them again, and so on, while the task stayed over its target all the while. It takes images that are not blamed yet, such as ones that were harmless before or several at once.

The limits by the time over the target now hold until the task is under it; a recovering task still is no evidence against an image.

--- a/internal/fleet/tail/pace.go
+++ b/internal/fleet/tail/pace.go
@@ -56,10 +56,10 @@
 			out[i].Pace = min(out[i].Pace, easyPace)
 		}
 	}
-	if t == nil || t.recovering || !tooHigh {
+	if t == nil || !tooHigh {
 		return
 	}
-	if cause := est.likeliestCause(filling, s); cause >= 0 {
+	if cause := est.likeliestCause(filling, s); cause >= 0 && !t.recovering {
 		for i, f := range filling {
 			if f.Image == filling[cause].Image {
 				out[i].Pace = min(out[i].Pace, slowPace)
--- a/internal/fleet/tail/tail_test.go
+++ b/internal/fleet/tail/tail_test.go
@@ -83,6 +83,37 @@
 	require.LessOrEqual(t, halted, 3*time.Second)
 }
 
+// Guards against filling tasks that are released whenever a task over its target
+// recovers, so that they disturb it again before it is under the target.
+func TestFillingTasksStayHaltedUntilTheTargetIsMet(t *testing.T) {
+	est, now := NewEstimator(), start
+	watch(est, &now, 20, 20*time.Millisecond, "a", "b")
+	filling := beside("a", "b")
+	level := 2.0               // rises beside image a at work
+	worked := time.Duration(0) // at more than slowPace, later than 3 s after the rise
+	for since := time.Duration(0); since < 8*time.Second && level > 1; since += 500 * time.Millisecond {
+		now = now.Add(500 * time.Millisecond)
+		tail := feed(time.Duration(level * float64(target)))
+		est.Observe("vm", filling, tail, now)
+		for i, advice := range est.Advise(filling, tail) {
+			if advice.Pace != filling[i].Pace {
+				filling[i].Pace, filling[i].PaceAge = advice.Pace, 0
+			}
+			filling[i].PaceAge += 500 * time.Millisecond
+		}
+		if filling[0].Pace > slowPace {
+			level = min(2, 1.25*level)
+			if since > 3*time.Second {
+				worked += 500 * time.Millisecond
+			}
+			continue
+		}
+		level *= 0.85
+	}
+	require.Zero(t, worked, "the task is over its target all the while")
+	require.LessOrEqual(t, level, 1.0)
+}
+
 // Guards against a pair that is kept apart for ever once it was blamed.
 func TestEvidenceDecays(t *testing.T) {
 	est, now := NewEstimator(), start
