lead: relay watches of the store through another entry

Cause: a leader that the store does not answer keeps its term, as its calls are relayed, but its watch was not relayed; a watch that already waited even held on until its own limit of 5.7 s. The leader heard only the notices of other entries, which are best effort.

Now a watch is a relayed call like the others, short and paced: 0.3 s pause, 0.05 s wait, so about every 0.35 s while the cut lasts. Waiting direct watches are ended when another call finds that the store answers other entries only. Watch keeps its contract (it returns after a change or the full wait), so the watches of the leader's key and of the configuration are unchanged. Its outcome does not count for isDown, and a failed one does not send other calls back to the silent store. Dropped history keeps its type through the relay. A long reply is cut between transactions and continues from the last change that is left; a transaction that is too large alone goes whole. A reply without a revision is not taken as "no changes", and the next entry is asked.

--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -279,6 +279,108 @@
 	r.requireDoneOnce(job)
 }
 
+// silentStore is a store that does not answer the calls of one entry while cut is set,
+// including watches that wait already.
+type silentStore struct {
+	*standin.Store
+	cut atomic.Bool
+}
+
+// silence is how long a call without an answer takes to fail.
+const silence = 900 * time.Millisecond
+
+// answer returns the error of a call that has no answer, and nil otherwise.
+func (s *silentStore) answer(ctx context.Context, after time.Duration) error {
+	if !s.cut.Load() {
+		return nil
+	}
+	fleet.Sleep(ctx, after)
+	return fmt.Errorf("%w: silenced by the test", kv.ErrUncertain)
+}
+
+func (s *silentStore) Get(ctx context.Context, key string) (fleet.Item, error) {
+	if err := s.answer(ctx, silence); err != nil {
+		return fleet.Item{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *silentStore) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
+	if err := s.answer(ctx, silence); err != nil {
+		return fleet.Page{}, err
+	}
+	return s.Store.Page(ctx, prefix, after)
+}
+
+func (s *silentStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	changes, next, err := s.Store.Watch(ctx, prefix, after, wait)
+	if err := s.answer(ctx, wait+silence); err != nil {
+		return nil, after, err
+	}
+	return changes, next, err
+}
+
+func (s *silentStore) Commit(ctx context.Context, txn fleet.Txn) (uint64, error) {
+	if err := s.answer(ctx, silence); err != nil {
+		return 0, err
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+func (s *silentStore) KeepLease(ctx context.Context, lease uint64) error {
+	if err := s.answer(ctx, silence); err != nil {
+		return err
+	}
+	return s.Store.KeepLease(ctx, lease)
+}
+
+// put writes a key without notifying the leader.
+func (r *testFleet) put(key string, value any) {
+	raw, err := json.Marshal(value)
+	require.NoError(r.t, err)
+	_, err = r.store.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: key, Value: raw}}})
+	require.NoError(r.t, err)
+}
+
+// leaderNode returns the name of the entry that leads, or "".
+func (r *testFleet) leaderNode() string {
+	item, err := r.store.Get(context.Background(), fleet.LeaderKey)
+	if err != nil {
+		return ""
+	}
+	var record link.LeaderRecord
+	require.NoError(r.t, json.Unmarshal(item.Value, &record))
+	return record.Node
+}
+
+// Guards against jobs that wait, and cancellations that are not carried out, for as long
+// as the store answers every entry but the leader, and no notice of them has come.
+func TestLeaderCutOffFromTheStoreHearsOfChanges(t *testing.T) {
+	r := newTestFleet(t, 1, 1, 0)
+	require.Eventually(t, func() bool { return r.leaderNode() == "entry-0" }, waitTimeout, 10*time.Millisecond)
+	own := &silentStore{Store: r.store}
+	leader := r.addEntry("cut", own)
+	r.entries[0].Leave()
+	require.Eventually(t, func() bool { return r.leaderNode() == "cut" }, waitTimeout, 10*time.Millisecond)
+	r.submit(leader, jobOf("before", 1))
+	require.Eventually(t, func() bool { return r.audit.Running(fleet.TaskID{Job: "before"}) }, waitTimeout, 5*time.Millisecond)
+
+	own.cut.Store(true)
+	r.put(fleet.JobBase+"job", jobOf("job", 1))
+	id := fleet.TaskID{Job: "job"}
+	require.Eventually(t, func() bool { return r.audit.Running(id) }, waitTimeout, 5*time.Millisecond, "the job is not known")
+	r.put(fleet.CancelBase+"job", struct{}{})
+	require.Eventually(t, func() bool { return !r.audit.Running(id) }, waitTimeout, 5*time.Millisecond, "the cancellation is not known")
+	r.addAgent(1, 0)
+	r.put(fleet.CancelBase+"before", struct{}{})
+	r.put(fleet.JobBase+"large", fleet.Job{ID: "large", Queue: "q", Policy: fleet.Policy{Pool: "pool"}, Accepted: time.Now(), Steps: []fleet.Step{{Count: 2, Need: structs.Resources{MilliCPU: 5000, MemoryMB: 100}}}})
+	require.Eventually(t, func() bool {
+		return r.audit.Running(fleet.TaskID{Job: "large"}) && r.audit.Running(fleet.TaskID{Job: "large", Index: 1})
+	}, waitTimeout, 5*time.Millisecond, "the registration of a VM is not known")
+	require.Equal(t, "cut", r.leaderNode())
+	require.Empty(t, r.audit.Violations())
+}
+
 // Guards against starting a task elsewhere while its executor, which no longer
 // answers, may still run it.
 func TestDarkExecutorKeepsItsTaskUntilItsLeaseHasExpired(t *testing.T) {
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -1,10 +1,13 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +30,12 @@
 	// downThreshold is the number of consecutive calls without an answer after which
 	// the store counts as unreachable. A single call may be lost.
 	downThreshold = 2
+	// relayedWatchTimeout is how long an entry waits for the store on a watch for
+	// another one. Two entries can be asked within relayTimeout: an entry that is
+	// silent for longer loses its session, and with it the other calls.
+	relayedWatchTimeout = 350 * time.Millisecond
+	relayedWatchWait    = 50 * time.Millisecond
+	relayedWatchPause   = 300 * time.Millisecond // before a relayed watch
 )
 
 // relayStore is a store client that relays calls through another entry while this
@@ -35,9 +44,12 @@
 type relayStore struct {
 	fleet.Store
 	relay            func(ctx context.Context, call storeCall) (storeReply, error)
-	avoidDirectUntil atomic.Int64 // end of the time without direct calls, as of sinceStart
+	avoidDirectUntil atomic.Int64 // end of the time without direct calls, as of sinceStart; 0: the last direct call got an answer
 	failures         atomic.Int64 // consecutive calls that got no answer, direct or relayed
 	downSince        atomic.Int64 // when the first of them ended, as of sinceStart; 0: there is none
+
+	mu      sync.Mutex
+	watches map[context.Context]context.CancelFunc // direct ones, which wait for changes
 }
 
 // isDown reports whether the store is unreachable, directly and through other
@@ -61,6 +73,7 @@
 	Grant  time.Duration `json:"grant,omitempty"`
 	Keep   uint64        `json:"keep,omitempty"`
 	End    uint64        `json:"end,omitempty"`
+	Watch  *watchCall    `json:"watch,omitempty"`
 }
 
 // pageCall asks for the items whose keys have a prefix and come after a key.
@@ -69,16 +82,24 @@
 	After  string `json:"after,omitempty"`
 }
 
+// watchCall asks for the changes of the keys with a prefix after a revision.
+type watchCall struct {
+	Prefix string        `json:"prefix"`
+	After  uint64        `json:"after"`
+	Wait   time.Duration `json:"wait"`
+}
+
 // storeReply is the wire form of the store's answer. Problem is the kind of error,
 // empty for none, and Detail its text.
 type storeReply struct {
-	Item     fleet.Item   `json:"item,omitzero"`
-	Items    []fleet.Item `json:"items,omitempty"` // of a page, or the current items of a conflict
-	More     bool         `json:"more,omitempty"`  // of a page: there are further items
-	Revision uint64       `json:"revision,omitempty"`
-	Lease    uint64       `json:"lease,omitempty"`
-	Problem  string       `json:"problem,omitempty"`
-	Detail   string       `json:"detail,omitempty"`
+	Item     fleet.Item     `json:"item,omitzero"`
+	Items    []fleet.Item   `json:"items,omitempty"` // of a page, or the current items of a conflict
+	More     bool           `json:"more,omitempty"`  // of a page: there are further items
+	Changes  []fleet.Change `json:"changes,omitempty"`
+	Revision uint64         `json:"revision,omitempty"`
+	Lease    uint64         `json:"lease,omitempty"`
+	Problem  string         `json:"problem,omitempty"`
+	Detail   string         `json:"detail,omitempty"`
 }
 
 // Values of storeReply.Problem.
@@ -87,6 +108,7 @@
 	problemConflict    = "conflict"
 	problemUnavailable = "unavailable"
 	problemUncertain   = "uncertain"
+	problemCompacted   = "compacted"
 )
 
 var processStart = time.Now()
@@ -112,21 +134,7 @@
 // try makes a call directly unless direct calls are avoided, then through another
 // entry, and at last directly if that was avoided at first.
 func (r *relayStore) try(ctx context.Context, c storeCall) (storeReply, error) {
-	var failed error
-	if sinceStart() >= r.avoidDirectUntil.Load() {
-		reply, err := c.executeDirect(ctx, r.Store)
-		if !isOutage(err) {
-			return reply, err
-		}
-		failed = err
-	}
-	reply, err := r.relay(ctx, c)
-	if err == nil {
-		err = reply.err()
-	}
-	if failed != nil && !isOutage(err) {
-		r.avoidDirectUntil.Store(sinceStart() + int64(directBackoff))
-	}
+	reply, failed, err := r.tryBoth(ctx, c)
 	if !isOutage(err) {
 		return reply, err
 	}
@@ -141,6 +149,38 @@
 	return reply, leastCertain(failed, err)
 }
 
+// tryBoth makes a call directly unless direct calls are avoided, then through another
+// entry. failed is the error of the direct call that got no answer, or nil.
+func (r *relayStore) tryBoth(ctx context.Context, c storeCall) (reply storeReply, failed, err error) {
+	if until := r.avoidDirectUntil.Load(); sinceStart() >= until {
+		reply, err = c.executeDirect(ctx, r.Store)
+		if !isOutage(err) {
+			r.avoidDirectUntil.CompareAndSwap(until, 0)
+			return reply, nil, err
+		}
+		failed = err
+	}
+	reply, err = r.relay(ctx, c)
+	if err == nil {
+		err = c.errorIn(reply)
+	}
+	if failed != nil && !isOutage(err) {
+		r.avoidDirect()
+	}
+	return reply, failed, err
+}
+
+// avoidDirect skips direct calls for directBackoff, and ends the direct watches: they
+// would wait for an answer that does not come.
+func (r *relayStore) avoidDirect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoidDirectUntil.Store(sinceStart() + int64(directBackoff))
+	for _, end := range r.watches {
+		end()
+	}
+}
+
 // leastCertain returns the error for a call whose two attempts have failed: it is
 // uncertain if either is, as the store may have applied that attempt.
 func leastCertain(a, b error) error {
@@ -150,10 +190,10 @@
 	return a
 }
 
-// isOutage reports whether an error means that the store gave no answer. Not found
-// and a conflict are answers.
+// isOutage reports whether an error means that the store gave no answer. Not found,
+// a conflict and dropped history are answers.
 func isOutage(err error) bool {
-	return err != nil && !errors.Is(err, kv.ErrNotFound) && !errors.As(err, new(*fleet.ConflictError))
+	return err != nil && !errors.Is(err, kv.ErrNotFound) && !errors.Is(err, fleet.ErrCompacted) && !errors.As(err, new(*fleet.ConflictError))
 }
 
 // executeDirect makes the call on the store within directTimeout. A page has no time
@@ -185,19 +225,34 @@
 		err = s.KeepLease(ctx, c.Keep)
 	case c.End > 0:
 		err = s.EndLease(ctx, c.End)
+	case c.Watch != nil:
+		reply.Changes, reply.Revision, err = s.Watch(ctx, c.Watch.Prefix, c.Watch.After, min(c.Watch.Wait, relayedWatchWait))
 	default: // of another version
 		err = fmt.Errorf("%w: unknown call", kv.ErrUnavailable)
 	}
 	return reply, err
 }
 
+// errorIn returns the error that a relayed reply to the call carries, or nil. An entry
+// of an earlier version answers a call that it does not know with nothing.
+func (c storeCall) errorIn(reply storeReply) error {
+	if err := reply.err(); err != nil {
+		return err
+	}
+	if c.Watch != nil && reply.Revision < max(c.Watch.After, 1) {
+		return fmt.Errorf("%w: a watch without a revision", kv.ErrUnavailable)
+	}
+	return nil
+}
+
 // maxRelayedBytes is the size of the values of a relayed page. Over a link of
 // 2 Mbit/s they take a quarter of a second.
 const maxRelayedBytes = 64 << 10
 
-// shorten drops the last items of a page so that it fits into a frame and arrives in
-// time. It keeps one at least.
+// shorten drops the last items of a page, or changes of a watch, so that the reply fits
+// into a frame and arrives in time. It keeps one item at least.
 func (r *storeReply) shorten() {
+	r.shortenChanges()
 	size := 0
 	for i, item := range r.Items {
 		if size += len(item.Key) + len(item.Value); size > maxRelayedBytes && i > 0 {
@@ -207,6 +262,23 @@
 	}
 }
 
+// shortenChanges drops the last changes of a watch, which then continues from the last
+// one that is left. Changes of one transaction share a revision and stay together; those
+// of the first one always stay.
+func (r *storeReply) shortenChanges() {
+	slices.SortStableFunc(r.Changes, func(a, b fleet.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	size, end := 0, 0 // end of the last transaction that fits
+	for i, c := range r.Changes {
+		if i > 0 && c.Revision != r.Changes[i-1].Revision {
+			end = i
+		}
+		if size += len(c.Key) + len(c.Value); size > maxRelayedBytes && end > 0 {
+			r.Changes, r.Revision = r.Changes[:end], r.Changes[end-1].Revision
+			return
+		}
+	}
+}
+
 // withError returns the reply with an error in its wire form.
 func (r storeReply) withError(err error) storeReply {
 	var conflict *fleet.ConflictError
@@ -217,6 +289,8 @@
 		r.Problem, r.Items = problemConflict, conflict.Current
 	case errors.Is(err, kv.ErrNotFound):
 		r.Problem = problemNotFound
+	case errors.Is(err, fleet.ErrCompacted):
+		r.Problem = problemCompacted
 	case errors.Is(err, kv.ErrUnavailable):
 		r.Problem = problemUnavailable
 	default:
@@ -235,6 +309,8 @@
 		return &fleet.ConflictError{Current: r.Items}
 	case problemNotFound:
 		return kv.ErrNotFound
+	case problemCompacted:
+		return fleet.ErrCompacted
 	case problemUnavailable:
 		return fmt.Errorf("%w: relayed: %s", kv.ErrUnavailable, r.Detail)
 	default:
@@ -259,12 +335,49 @@
 	return fleet.Page{Items: reply.Items, More: reply.More, AsOf: reply.Revision}, err
 }
 
-// Watch implements fleet.Store. It is not relayed: its callers read the keys again
-// while it fails.
+// Watch implements fleet.Store. While direct calls get no answer it makes short watches
+// through another entry. Its outcome says nothing about an outage of the store, as a
+// waiting watch may be cut at any time.
 func (r *relayStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
-	if sinceStart() < r.avoidDirectUntil.Load() {
-		return nil, after, fmt.Errorf("%w: the store does not answer this entry", kv.ErrUnavailable)
+	deadline := time.Now().Add(wait)
+	for {
+		if r.avoidDirectUntil.Load() == 0 {
+			changes, next, err := r.watchDirect(ctx, prefix, after, time.Until(deadline))
+			if !isOutage(err) || ctx.Err() != nil || r.avoidDirectUntil.Load() == 0 {
+				return changes, next, err
+			}
+		} else {
+			fleet.Sleep(ctx, relayedWatchPause)
+		}
+		reply, _, err := r.tryBoth(ctx, storeCall{Watch: &watchCall{prefix, after, relayedWatchWait}})
+		if err != nil {
+			return nil, after, err
+		}
+		after = reply.Revision
+		if len(reply.Changes) > 0 || !time.Now().Before(deadline) {
+			return reply.Changes, after, nil
+		}
 	}
+}
+
+// watchDirect watches directly until direct calls are avoided.
+func (r *relayStore) watchDirect(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	r.mu.Lock()
+	if r.watches == nil {
+		r.watches = map[context.Context]context.CancelFunc{}
+	}
+	r.watches[ctx] = end
+	if r.avoidDirectUntil.Load() != 0 {
+		end()
+	}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.watches, ctx)
+	}()
 	return r.Store.Watch(ctx, prefix, after, wait)
 }
 
@@ -312,10 +425,11 @@
 		if err := json.Unmarshal(reply.GetData(), &out); err != nil {
 			return out, fmt.Errorf("%w: reply of entry %s: %w", kv.ErrUncertain, address, err)
 		}
-		if !isOutage(out.err()) {
-			return out, nil
+		if err := c.errorIn(out); isOutage(err) {
+			failed = leastCertain(failed, err)
+			continue
 		}
-		failed = leastCertain(failed, out.err())
+		return out, nil
 	}
 	return storeReply{}, failed
 }
@@ -326,7 +440,11 @@
 	if err := json.Unmarshal(q.GetJob(), &call); err != nil {
 		return nil, fmt.Errorf("decode relayed call: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	timeout := directTimeout
+	if call.Watch != nil {
+		timeout = relayedWatchTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := call.execute(ctx, e.direct)
 	reply.shorten()
