--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -200,6 +200,7 @@
 func (l *Ledger) repeatOrder(r *Run) {
 	switch {
 	case r.State == Starting && r.Task != nil:
+		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
 		r.Node.orders.Stops = append(r.Node.orders.Stops, RunRef{r.ID, r.Number})
