ledger, lead: give up tasks that crash the executors that start them

The start has no answer when the executor crashes, so the ledger repeated the order to each new instance.

The ledger now counts a new instance of an executor that was not draining as a crash under each run that may have been starting: listed for less than 100 ms, or ordered before the old instance can have missed its next lists. A run that is listed for longer, or done or failed, clears its task. A suspect is repeated only to an instance that has nothing else to run. Otherwise it is stopped there, and the planner starts it where the fewest others start and run, takes the VM out of the plan until the executor has survived the start, and does so on at most a quarter of the VMs. The job fails after two crashes in a row with no other suspect, or four with others. The counts are part of the stored progress.

TestUnansweredStartThatCrashesItsExecutorIsNotRepeatedWithoutLimit failed before: the job was not given up (no final state).

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -41,7 +41,10 @@
 	maxPreemptSearches = 8
 	// clearInterval is the minimum interval between moves of lasting tasks off the
 	// VMs kept for filling tasks.
-	clearInterval    = 700 * time.Millisecond
+	clearInterval = 700 * time.Millisecond
+	// maxProbation is the divisor of the number of VMs that gives how many of them may
+	// have a suspected task on probation at a time.
+	maxProbation     = 4
 	startedUpPercent = 100 // percent that a lasting task reports once it has started up
 )
 
@@ -102,6 +105,7 @@
 	p.sortReady(ready, now)
 	clear(p.orderedSpecs)
 	failed := place.Failed{}
+	p.startSuspects(ready, vms, nodes, failed, now)
 	searches := 0
 	for _, r := range ready {
 		left := p.startTasks(r, vms, nodes, failed, now)
@@ -121,6 +125,9 @@
 	var ranked place.Task // the task that ranking is for
 	use := expectedUse(r.Step.Spec)
 	for _, t := range r.Tasks {
+		if t.Suspect() {
+			continue
+		}
 		if !p.budget.open(now) {
 			return nil
 		}
@@ -143,6 +150,45 @@
 	return nil
 }
 
+// startSuspects starts ready tasks that may crash their executors, each on a VM with few
+// others, which takes no further task until the executor has survived the start.
+func (p *planner) startSuspects(ready []ledger.ReadyStep, vms []*place.VM, nodes []*ledger.Node, failed place.Failed, now time.Time) {
+	left := max(1, len(vms)/maxProbation)
+	for _, vm := range vms {
+		if vm.Closed {
+			left--
+		}
+	}
+	for _, r := range ready {
+		for _, t := range r.Tasks {
+			if !t.Suspect() {
+				continue
+			}
+			if left <= 0 || !p.budget.open(now) {
+				return
+			}
+			task := p.describeTask(t, now)
+			task.Isolated = true
+			if failed.Covers(&task) {
+				continue
+			}
+			i := place.Choose(&task, vms, p.estimator.DisturbanceProbability)
+			if i < 0 {
+				failed.Add(&task)
+				if !task.Fills {
+					p.preempt(&task, r.Step, vms, nodes, now)
+				}
+				continue
+			}
+			vms[i].Take(&task, expectedUse(r.Step.Spec))
+			vms[i].Closed = true
+			left--
+			p.budget.spend(now, p.payload(t, nodes[i].Name))
+			p.ledger.Start(t, nodes[i], "", now)
+		}
+	}
+}
+
 // specKey identifies the spec of a job on its way to a VM.
 type specKey struct{ vm, job string }
 
@@ -340,7 +386,7 @@
 func (p *planner) describeVM(name string, n *ledger.Node, now time.Time) *place.VM {
 	vm := &place.VM{
 		Name: name, Pool: n.Executor.Pool, Labels: n.Executor.Labels,
-		Capacity: n.Executor.Capacity, Trouble: n.TroubleAt(now),
+		Capacity: n.Executor.Capacity, Closed: n.Probation(), Trouble: n.TroubleAt(now),
 		Steps: map[place.StepKey]int{}, Jobs: map[string]int{},
 	}
 	for _, r := range n.Runs {
@@ -360,6 +406,7 @@
 			vm.Lasting += s.Need.MilliCPU
 		}
 	}
+	vm.Starting = n.StartingRuns()
 	_, _, serving := tasksOf(n, now)
 	for _, s := range serving {
 		vm.Serving = append(vm.Serving, place.ServingTask{Image: s.Image, Level: float64(s.Tail) / float64(s.Target)})
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -259,3 +259,51 @@
 
 	require.Equal(t, 3*time.Second, longestChain([]fleet.Step{{Estimate: time.Second}, {Estimate: 5 * time.Second / 2}, {Estimate: 2 * time.Second, After: []int{0}}}))
 }
+
+// Guards against tasks that crash their executors together with many others, against
+// bystanders of a crash that are suspected again, and against a fleet that is kept
+// free for suspected tasks.
+func TestSuspectedTasksStartAloneOnFewVMs(t *testing.T) {
+	l := newPlanFixture(8)
+	small := structs.Resources{MilliCPU: 500, MemoryMB: 100}
+	l.submit("suspects", fleet.Step{Count: 6, Need: small})
+	n := l.ledger.Nodes["vm-000"]
+	for _, task := range l.ledger.Ready(l.now) {
+		l.ledger.Start(task, n, "", l.now)
+	}
+	n.TakeOrders()
+	var running []fleet.Running
+	for id, r := range n.Runs {
+		running = append(running, fleet.Running{Task: id, Run: r.Number})
+		l.ledger.Report(n, ledger.Report{Executor: &n.Executor, Results: []ledger.Result{{Task: id, Run: r.Number, Result: fleet.OrderDone}}}, l.now)
+	}
+	e := n.Executor
+	l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true, Running: running}, l.now)
+	e.Instance = "next"
+	l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true}, l.now)
+	e.Instance = "vm-000"
+	l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true}, l.now)
+
+	l.submit("others", fleet.Step{Count: 24, Need: small})
+	left, rounds := 6, 0
+	for ; left > 0; rounds++ {
+		require.Less(t, rounds, 10)
+		l.plan.plan(l.now)
+		probation := 0
+		for _, n := range l.ledger.Nodes {
+			if !n.Probation() {
+				continue
+			}
+			probation++
+			for id := range n.Runs {
+				require.True(t, id.Job == "suspects" || rounds > 0, "a new task beside a suspect")
+			}
+		}
+		require.LessOrEqual(t, probation, 2)
+		left -= probation
+		l.list()
+		l.now = l.now.Add(200 * time.Millisecond)
+		l.list()
+	}
+	require.Equal(t, 3, rounds)
+}
--- /dev/null
+++ b/internal/fleet/ledger/crash.go
@@ -0,0 +1,114 @@
+package ledger
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// A task may crash each executor that starts it, within milliseconds. A crash is known
+// by the next instance of the executor, and makes all runs suspects that may have been
+// starting then. A suspected task is started again on a VM where nothing else starts
+// (package lead), so that a second crash shows which of them was the cause.
+const (
+	// survivedAfter is how long a run has to be listed until its start is known not to
+	// crash the executor.
+	survivedAfter = 100 * time.Millisecond
+	// listInterval is the longest time between two lists of an executor that answers. A
+	// start ordered later than this after its last lists has not reached it.
+	listInterval = 500 * time.Millisecond
+	// The job of a task fails after maxSoleCrashes crashes in a row with no other
+	// suspect, or maxCrashes with others.
+	maxSoleCrashes = 2
+	maxCrashes     = 4
+)
+
+// crashes counts crashes of executors that may be due to the start of a task, since the
+// last start that an executor has survived.
+type crashes struct {
+	All  int `json:"a,omitempty"`
+	Sole int `json:"s,omitempty"` // with no other suspect
+}
+
+// Suspect reports whether an executor has crashed at the start of the task, and none
+// has survived a start of it since.
+func (t *Task) Suspect() bool { return t.crashes.All > 0 }
+
+// StartingRuns returns the number of runs of which it is not known that the executor
+// has survived their start.
+func (n *Node) StartingRuns() int {
+	starting := 0
+	for _, r := range n.Runs {
+		if !r.survived {
+			starting++
+		}
+	}
+	return starting
+}
+
+// Probation reports whether a suspected task is starting on the node.
+func (n *Node) Probation() bool {
+	for _, r := range n.Runs {
+		if r.Task != nil && r.Task.Suspect() && r.State != Stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// suspects returns the runs that may have been starting if the executor has crashed
+// after its last lists.
+func (n *Node) suspects() []*Run {
+	var runs []*Run
+	for _, r := range n.Runs {
+		if !r.survived && (!r.confirmedAt.IsZero() || !r.Since.After(n.ListedAt.Add(listInterval))) {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *Run) int { return cmp.Compare(a.ID.String(), b.ID.String()) })
+	return runs
+}
+
+// confirmStart records that an executor has answered the start of a run or listed it.
+func (l *Ledger) confirmStart(r *Run, now time.Time) {
+	if r.confirmedAt.IsZero() {
+		r.confirmedAt = now
+	}
+	if r.survived || now.Sub(r.confirmedAt) < survivedAfter {
+		return
+	}
+	r.survived = true
+	if r.Task != nil && r.Task.Suspect() {
+		l.log(Event{What: "suspect cleared", Task: r.ID, Run: r.Number, Node: r.Node.Name})
+		r.Task.crashes = crashes{}
+		l.progressChanged(r.Task.Step.Job)
+	}
+}
+
+// countCrash counts the crash of an executor for the tasks of the runs that may have
+// been starting, and gives up those that have reached the limit. An executor that was
+// draining has left instead.
+func (l *Ledger) countCrash(n *Node, now time.Time) {
+	runs := append(n.lapsedSuspects, n.suspects()...)
+	n.lapsedSuspects = nil
+	if n.Executor.Draining || n.listings == 0 {
+		return
+	}
+	for _, r := range runs {
+		t := r.Task
+		if t == nil || t.Done || t.Step.Job.Final != "" {
+			continue
+		}
+		t.crashes.All++
+		if len(runs) == 1 {
+			t.crashes.Sole++
+		}
+		l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.All, len(runs))})
+		l.progressChanged(t.Step.Job)
+		if t.crashes.All >= maxCrashes || t.crashes.Sole >= maxSoleCrashes {
+			l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: n.Name, Reason: "crashes the executors that start it"})
+			l.finish(t.Step.Job, Failed, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/ledger/crash_test.go
@@ -0,0 +1,287 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+)
+
+// listInstance reports complete lists of an instance of a node.
+func (w *fixture) listInstance(name string, instance int, running []fleet.Running, ended ...fleet.End) {
+	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool"}
+	w.ledger.Report(w.node(name), Report{Executor: e, Listed: true, Running: running, Ended: ended}, w.now)
+	w.ledger.Tick(w.now)
+}
+
+// crash has the executor of a node crash and list nothing as a new instance 3 s later.
+func (w *fixture) crash(name string, instance int) {
+	w.now = w.now.Add(3 * time.Second)
+	w.listInstance(name, instance, nil)
+}
+
+// takeOrders takes the orders for an instance, and has it answer the stops of runs that
+// it does not have until they are closed. It returns the starts.
+func (w *fixture) takeOrders(name string, instance int) []fleet.StartOrder {
+	orders, _ := w.node(name).TakeOrders()
+	if len(orders.Stops) == 0 {
+		return orders.Starts
+	}
+	var results []Result
+	for _, s := range orders.Stops {
+		results = append(results, Result{Task: s.Task, Run: s.Run, Stop: true, Result: fleet.OrderDone})
+	}
+	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool"}
+	w.ledger.Report(w.node(name), Report{Executor: e, Results: results}, w.now)
+	var running []fleet.Running
+	for _, s := range orders.Starts {
+		running = append(running, fleet.Running{Task: s.Task, Run: s.Run})
+	}
+	for range absenceListings {
+		w.now = w.now.Add(survivedAfter)
+		w.listInstance(name, instance, running)
+	}
+	w.now = w.now.Add(retryDelay)
+	return orders.Starts
+}
+
+// run has the first ready task run on a node for the given time.
+func (w *fixture) run(node string, instance int, d time.Duration) {
+	t := w.ledger.Ready(w.now)[0]
+	w.ledger.Start(t, w.node(node), "", w.now)
+	w.node(node).TakeOrders()
+	running := runningOf(t.ID, t.LastRun)
+	answer := Result{Task: t.ID, Run: t.LastRun, Result: fleet.OrderDone}
+	w.ledger.Report(w.node(node), Report{Executor: &w.node(node).Executor, Results: []Result{answer}}, w.now)
+	w.listInstance(node, instance, running)
+	w.now = w.now.Add(d)
+	w.listInstance(node, instance, running)
+}
+
+// Guards against a start that is repeated to each new instance of an executor although
+// the executor crashes each time.
+func TestUnansweredStartThatCrashesItsExecutorIsNotRepeatedWithoutLimit(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("deadly", false, one())
+	w.listInstance("a", 1, nil)
+	starts := 0
+	for instance := 2; instance < 10; instance++ {
+		if len(w.ready()) > 0 {
+			w.start("a")
+		}
+		starts += len(w.takeOrders("a", instance-1))
+		w.crash("a", instance)
+	}
+	require.Equal(t, maxSoleCrashes, starts)
+	require.Equal(t, Failed, job.Final)
+	require.Empty(t, w.node("a").Runs)
+}
+
+// Guards against a task that is started without limit as its crashes always have other
+// suspects.
+func TestTaskThatCrashesExecutorsBesideOthersIsGivenUp(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("deadly", false, one())
+	w.listInstance("a", 1, nil)
+	starts := 0
+	for instance := 2; instance < 12; instance++ {
+		w.add(fmt.Sprint("other-", instance), false, one())
+		for range w.ready() {
+			w.start("a")
+		}
+		for _, s := range w.takeOrders("a", instance-1) {
+			if s.Task.Job == "deadly" {
+				starts++
+			}
+		}
+		w.crash("a", instance)
+		w.takeOrders("a", instance)
+	}
+	require.Equal(t, maxCrashes, starts)
+	require.Equal(t, Failed, job.Final)
+}
+
+// Guards against a job that fails because its task was starting beside one that
+// crashes executors.
+func TestBystanderOfACrashIsClearedOnceAnExecutorSurvivesItsStart(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.listInstance("a", 1, nil)
+	w.listInstance("b", 1, nil)
+	w.add("deadly", false, one())
+	bystander := w.add("bystander", false, one())
+	w.start("a")
+	w.start("a")
+	w.node("a").TakeOrders()
+	w.crash("a", 2)
+	require.Empty(t, w.takeOrders("a", 2), "neither is repeated beside the other")
+	w.listInstance("b", 1, nil)
+	require.Len(t, w.ready(), 2)
+	task := bystander.Occurrences[0].Steps[0].Tasks[0]
+	require.True(t, task.Suspect())
+	w.ledger.Start(task, w.node("b"), "", w.now)
+	w.listInstance("b", 1, runningOf(task.ID, task.LastRun))
+	require.True(t, task.Suspect())
+	require.True(t, w.node("b").Probation())
+	w.now = w.now.Add(survivedAfter)
+	w.listInstance("b", 1, runningOf(task.ID, task.LastRun))
+	require.False(t, task.Suspect())
+	require.False(t, w.node("b").Probation())
+	for instance := 3; instance < 10; instance++ {
+		if len(w.ready()) > 0 {
+			w.start("a")
+		}
+		w.node("a").TakeOrders()
+		w.crash("a", instance)
+	}
+	require.Equal(t, Failed, w.ledger.Jobs["deadly"].Final)
+	require.Empty(t, bystander.Final)
+}
+
+// Guards against lasting jobs that fail because executors crash long after the starts
+// of their tasks.
+func TestCrashesLongAfterAStartDoNotCount(t *testing.T) {
+	w := newFixture(t, "a")
+	step := one()
+	step.Lasting = true
+	job := w.add("service", false, step)
+	w.listInstance("a", 1, nil)
+	for instance := 1; instance < 20; instance++ {
+		w.run("a", instance, survivedAfter)
+		w.crash("a", instance+1)
+		require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect())
+		require.Len(t, w.ready(), 1)
+	}
+	require.Empty(t, job.Final)
+}
+
+// Guards against a lasting task that crashes the executors that start it without limit.
+func TestLastingTaskThatCrashesItsExecutorsIsGivenUp(t *testing.T) {
+	w := newFixture(t, "a")
+	step := one()
+	step.Lasting = true
+	job := w.add("service", false, step)
+	w.listInstance("a", 1, nil)
+	for instance := 1; job.Final == ""; instance++ {
+		require.Less(t, instance, 5)
+		w.run("a", instance, 0)
+		w.crash("a", instance+1)
+	}
+	require.Equal(t, Failed, job.Final)
+}
+
+// Guards against crashes that are not counted when the lease expires before the new
+// instance is announced.
+func TestCrashCountsWhenItIsKnownOnlyAfterTheLease(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("deadly", false, one())
+	w.listInstance("a", 1, nil)
+	for instance := 1; job.Final == ""; instance++ {
+		require.Less(t, instance, 5)
+		w.start("a")
+		w.node("a").TakeOrders()
+		w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Lapsed: true}, w.now)
+		require.Len(t, w.ready(), 1)
+		w.crash("a", instance+1)
+	}
+	require.Equal(t, Failed, job.Final)
+}
+
+// Guards against tasks that are suspected because their executor was out of reach, or
+// left.
+func TestExecutorThatDoesNotCrashMakesNoSuspects(t *testing.T) {
+	t.Run("lapsed", func(t *testing.T) {
+		w := newFixture(t, "a")
+		job := w.add("job", false, one())
+		w.listInstance("a", 1, nil)
+		w.start("a")
+		w.node("a").TakeOrders()
+		w.ledger.Disconnected(w.node("a"))
+		w.now = w.now.Add(maxLease + time.Second)
+		w.ledger.Tick(w.now)
+		require.Len(t, w.ready(), 1)
+		w.listInstance("a", 1, nil)
+		w.crash("a", 2)
+		require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect())
+	})
+	t.Run("drained", func(t *testing.T) {
+		w := newFixture(t, "a")
+		job := w.add("job", false, one())
+		w.listInstance("a", 1, nil)
+		w.start("a")
+		w.node("a").TakeOrders()
+		e := w.node("a").Executor
+		e.Draining = true
+		w.ledger.Report(w.node("a"), Report{Executor: &e}, w.now)
+		w.crash("a", 2)
+		require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect())
+	})
+}
+
+// Guards against tasks that are suspected because they were ordered while their
+// executor was already down, and against starts that are then not repeated at once.
+func TestStartOrderedAfterTheCrashIsRepeatedToTheNewInstance(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("job", false, one())
+	w.listInstance("a", 1, nil)
+	w.now = w.now.Add(listInterval + time.Millisecond)
+	w.start("a")
+	require.Len(t, w.takeOrders("a", 1), 1)
+	w.crash("a", 2)
+	require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect())
+	require.Len(t, w.takeOrders("a", 2), 1)
+}
+
+// Guards against a crash that is counted twice, as the first new instance crashes
+// before it has got an order.
+func TestInstanceWithoutListsCountsNoCrash(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("job", false, one())
+	w.listInstance("a", 1, nil)
+	w.start("a")
+	w.node("a").TakeOrders()
+	for instance := 2; instance < 8; instance++ {
+		w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: fmt.Sprint("a@", instance)}}, w.now)
+	}
+	require.Equal(t, crashes{All: 1, Sole: 1}, job.Occurrences[0].Steps[0].Tasks[0].crashes)
+	require.Empty(t, job.Final)
+}
+
+// Guards against a leader that starts a task without limit, as it does not know of
+// the crashes under earlier leaders, and against records without such counts that it
+// cannot read.
+func TestCrashesCountAcrossLeaders(t *testing.T) {
+	var stored []byte
+	starts := 0
+	for range 2 * maxCrashes {
+		w := newFixture(t, "a")
+		job := w.add("deadly", true, one())
+		if stored != nil {
+			require.NoError(t, w.ledger.Restore("deadly", stored, 1, w.now))
+		}
+		w.listInstance("a", 1, nil)
+		if job.Final == "" {
+			w.start("a")
+			starts += len(w.takeOrders("a", 1))
+		}
+		w.crash("a", 2)
+		records, err := w.ledger.Dirty(1)
+		require.NoError(t, err)
+		if len(records) > 0 {
+			stored = records[0].Value
+		}
+	}
+	require.Equal(t, maxSoleCrashes, starts)
+	state, err := StoredState(stored)
+	require.NoError(t, err)
+	require.Equal(t, Failed, state)
+
+	w := newFixture(t, "a")
+	job := w.add("job", true, one())
+	require.NoError(t, w.ledger.Restore("job", []byte(`{"tasks":[{"r":3,"f":[{"r":2,"n":"a"}]}]}`), 1, w.now))
+	task := job.Occurrences[0].Steps[0].Tasks[0]
+	require.False(t, task.Suspect())
+	require.Equal(t, 1, task.Failures())
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -45,9 +45,11 @@
 	// absentFrom is the number of the node's listing from which on a listing
 	// without the run proves that the run does not exist. 0: none proves it.
 	absentFrom    int
-	lastListing   int  // number of the last listing with the run
-	startAnswered bool // the order to start it has an answer, so the agent no longer repeats it
-	inInstance    bool // listed after that answer: no try of the order can start it again in a later instance
+	lastListing   int       // number of the last listing with the run
+	startAnswered bool      // the order to start it has an answer, so the agent no longer repeats it
+	inInstance    bool      // listed after that answer: no try of the order can start it again in a later instance
+	confirmedAt   time.Time // when its start was first answered or listed in the instance
+	survived      bool      // the executor has not crashed at its start
 }
 
 // Task is one task of an occurrence of a job.
@@ -59,6 +61,7 @@
 	EndedRun   int       // runs up to this number have ended
 	failures   []failure // failed runs, which count as attempts
 	closedRuns []int     // numbers of runs that were closed without a listed end
+	crashes    crashes
 	Checkpoint string
 	Current    *Run      // nil: it has no run
 	NotBefore  time.Time // earliest next start, after a refusal
@@ -154,6 +157,9 @@
 	highestEnd   uint64 // highest number of a listed end of the instance
 	ackedEnds    uint64 // Orders.Stored as last taken
 	unstoredEnds []unstoredEnd
+	// lapsedSuspects are the suspects among the runs that were closed when the lease
+	// expired. They count once a new instance shows that the executor has crashed.
+	lapsedSuspects []*Run
 }
 
 // unstoredEnd is an end that is acknowledged once version of the job is stored.
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -13,13 +13,14 @@
 func exp2(x float64) float64 { return math.Exp2(x) }
 
 // taskProgress is the stored progress of one task. It is left out for a task of
-// which no run has ended.
+// which no run has ended and at whose start no executor has crashed.
 type taskProgress struct {
 	Occurrence int       `json:"o,omitempty"`
 	Step       int       `json:"s,omitempty"`
 	Index      int       `json:"i,omitempty"`
 	Ended      int       `json:"r,omitempty"` // Task.EndedRun
 	Failed     []failure `json:"f,omitempty"`
+	Crashes    crashes   `json:"x,omitzero"`
 	Done       bool      `json:"d,omitempty"`
 	Checkpoint string    `json:"c,omitempty"`
 }
@@ -85,10 +86,10 @@
 	for _, occ := range j.Occurrences {
 		for _, s := range occ.Steps {
 			for _, t := range s.Tasks {
-				if t.EndedRun == 0 && len(t.failures) == 0 {
+				if t.EndedRun == 0 && len(t.failures) == 0 && t.crashes == (crashes{}) {
 					continue
 				}
-				tp := taskProgress{Occurrence: occ.Number, Step: s.Index, Index: t.ID.Index, Ended: t.EndedRun, Failed: t.failures, Done: t.Done}
+				tp := taskProgress{Occurrence: occ.Number, Step: s.Index, Index: t.ID.Index, Ended: t.EndedRun, Failed: t.failures, Crashes: t.crashes, Done: t.Done}
 				if !t.Done {
 					tp.Checkpoint = t.Checkpoint
 				}
@@ -211,7 +212,7 @@
 			return fmt.Errorf("stored progress of job %s names task %d.%d.%d, which the job does not have", id, tp.Occurrence, tp.Step, tp.Index)
 		}
 		job.Started = true
-		t.EndedRun, t.LastRun, t.failures, t.Checkpoint = tp.Ended, tp.Ended, tp.Failed, tp.Checkpoint
+		t.EndedRun, t.LastRun, t.failures, t.crashes, t.Checkpoint = tp.Ended, tp.Ended, tp.Failed, tp.Crashes, tp.Checkpoint
 		for _, f := range tp.Failed {
 			t.LastRun = max(t.LastRun, f.Run)
 		}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -100,6 +100,7 @@
 func (l *Ledger) newInstance(n *Node, e fleet.Executor, now time.Time) {
 	if n.Executor.Instance != "" {
 		l.log(Event{What: "executor replaced", Node: n.Name, Reason: n.Executor.Instance + " by " + e.Instance})
+		l.countCrash(n, now)
 	}
 	for _, r := range n.Runs {
 		if r.inInstance {
@@ -109,10 +110,18 @@
 		// The order may have reached the new instance, which is called under the
 		// same id, so it is repeated there.
 		r.lastListing, r.absentFrom, r.startAnswered = 0, 0, false
+		r.confirmedAt, r.survived = time.Time{}, false
 		if r.State == Running {
 			r.State = Starting
 		}
 	}
+	if len(n.Runs) > 1 { // a suspect would be repeated beside others
+		for _, r := range n.Runs {
+			if r.State == Starting && r.Task != nil && r.Task.Suspect() {
+				l.Stop(r, "may crash its executor")
+			}
+		}
+	}
 	n.highestEnd, n.ackedEnds, n.unstoredEnds, n.orders, n.listings = 0, 0, nil, Orders{}, 0
 	n.Listed, n.lapsed = false, false
 }
@@ -120,6 +129,7 @@
 // expireLease closes all runs of a node whose executor's lease has expired, and
 // drops the orders to start further ones.
 func (l *Ledger) expireLease(n *Node, reason string, now time.Time) {
+	n.lapsedSuspects = append(n.lapsedSuspects, n.suspects()...)
 	l.closeRuns(n, reason, now)
 	n.orders.Starts = nil
 }
@@ -171,6 +181,7 @@
 func (l *Ledger) applyLists(n *Node, r Report, now time.Time) {
 	first := !n.Listed
 	n.Listed, n.ListedAt = true, now
+	n.lapsedSuspects = nil
 	n.listings++
 	slices.SortFunc(r.Ended, func(a, b fleet.End) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range r.Ended {
@@ -219,6 +230,7 @@
 		}
 	}
 	run.lastListing = n.listings
+	l.confirmStart(run, now)
 	run.inInstance = run.inInstance || run.startAnswered
 	if run.State == Starting {
 		run.State = Running
@@ -306,6 +318,9 @@
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
+	if e.Reason == fleet.EndDone || e.Reason == fleet.EndFailed {
+		t.crashes = crashes{}
+	}
 	switch {
 	case e.Reason == fleet.EndDone && !t.Step.Spec.Lasting:
 		l.markDone(t, now)
@@ -416,6 +431,7 @@
 	case r.Stop:
 		run.absentFrom = n.listings + absenceListings
 	case r.Result == fleet.OrderDone:
+		l.confirmStart(run, now)
 		if run.State == Starting {
 			run.State, run.Since, run.PaceSince = Running, now, now
 			run.Task.Step.Job.Started = true
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -33,6 +33,9 @@
 	Filling       int64             // wanted by filling tasks
 	Serving       []ServingTask     // serving tasks on the VM
 	FillingOnly   bool              // kept free of serving tasks, where possible
+	Closed        bool              // takes no further tasks for now
+	Tasks         int               // number of tasks
+	Starting      int               // number of tasks that have just been started
 	Trouble       float64           // decaying count of recently failed and refused runs
 	MedianTrouble float64           // median Trouble of the pool
 	Steps         map[StepKey]int   // number of tasks, by step; only of steps with a MaxPerVM
@@ -61,21 +64,24 @@
 	DataRack  string // label of the rack that holds the task's data
 	MaxPerVM  int    // largest number of tasks of the step on a VM; 0: no limit
 	AvoidName string // VM of the last run, if that did not end well
+	Isolated  bool   // goes where the fewest other tasks start and run
 	Forced    bool   // has waited long: accepts a VM with much Trouble, or less CPU than it wants
 }
 
 // Weights of the score in cores: how many free cores offset one unit of each.
 const (
-	troubleCores     = 16.0  // one unit of Trouble; such a VM is chosen once the others are nearly full
-	farCores         = 24.0  // a VM outside of DataRack, where the task takes 1.5 times as long
-	sameJobCores     = 4.0   // each task of the same service on the VM, as they are lost together
-	halfJobCores     = 200.0 // more than half of a service on the VM
-	avoidCores       = 100.0 // the VM of AvoidName
-	harmCores        = 60.0  // a serving task that is certainly disturbed
-	sameImageBonus   = 16.0  // bonus: the VM serves the image already; few filling images disturb a VM with one serving image
-	otherImageCores  = 8.0   // each serving task of another image on the VM
-	fillingOnlyCores = 500.0 // a VM that is kept for filling tasks, for a lasting task
-	noServingBonus   = 30.0  // bonus: a VM without serving tasks, for a filling task
+	troubleCores     = 16.0   // one unit of Trouble; such a VM is chosen once the others are nearly full
+	farCores         = 24.0   // a VM outside of DataRack, where the task takes 1.5 times as long
+	sameJobCores     = 4.0    // each task of the same service on the VM, as they are lost together
+	halfJobCores     = 200.0  // more than half of a service on the VM
+	avoidCores       = 100.0  // the VM of AvoidName
+	harmCores        = 60.0   // a serving task that is certainly disturbed
+	sameImageBonus   = 16.0   // bonus: the VM serves the image already; few filling images disturb a VM with one serving image
+	otherImageCores  = 8.0    // each serving task of another image on the VM
+	fillingOnlyCores = 500.0  // a VM that is kept for filling tasks, for a lasting task
+	isolationCores   = 1000.0 // each task on the VM, for a task to be isolated
+	startingTasks    = 50.0   // tasks that count as much for that as one that starts
+	noServingBonus   = 30.0   // bonus: a VM without serving tasks, for a filling task
 	milli            = 1000.0
 )
 
@@ -128,7 +134,7 @@
 
 // Fits reports whether a VM may run the task.
 func Fits(t *Task, vm *VM, interference Interference) bool {
-	if vm.Pool != t.Pool || vm.Trouble > vm.MedianTrouble+maxTrouble && !t.Forced {
+	if vm.Pool != t.Pool || vm.Closed || vm.Trouble > vm.MedianTrouble+maxTrouble && !t.Forced {
 		return false
 	}
 	if t.Label != "" && !slices.Contains(vm.Labels, t.Label) {
@@ -174,6 +180,8 @@
 // core, which counts unless it is a filling task. A lasting task counts as serving.
 func (vm *VM) Take(t *Task, busy int64) {
 	vm.Reserved = ReservedWith(t, vm.Reserved)
+	vm.Tasks++
+	vm.Starting++
 	if t.Fills {
 		vm.Filling += t.Need.MilliCPU
 	} else {
@@ -198,6 +206,9 @@
 	if vm.Name == t.AvoidName {
 		s -= avoidCores
 	}
+	if t.Isolated {
+		s -= isolationCores * (float64(vm.Tasks) + startingTasks*float64(vm.Starting))
+	}
 	free := float64(vm.Capacity.MilliCPU-vm.Reserved.MilliCPU) / milli
 	switch {
 	case t.Fills:
