side: withdraw starts without an answer when the capacity shrinks

The leader needs no change: every report carries the description of the executor, a report changes the node's count and so drops the planner's cached view, and reservations include runs that are being stopped (TestShrunkCapacityTakesNoStarts, which passed before). The agent repeated a start without an answer for as long as the lease lasts, and so on an executor that has shrunk since the leader ordered it; and it passed the capacity on only with its next report, up to 0.4 s later, or 0.8 s while holds get no answer.

The agent now withdraws the start orders without an answer when the capacity shrinks, as it does when the executor leaves, and reports a changed capacity at once. Starts that still fit are ordered again by the leader.

TestStartIsNotRepeatedOnceTheCapacityHasShrunk failed before: no report. Without the withdrawal alone it fails on the repeated start.

--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -231,6 +231,49 @@
 	require.Zero(t, l.plan.cachedVM("vm-000", again, l.now).Reserved)
 }
 
+// Guards against starts on an executor whose capacity has shrunk below what runs or is
+// being stopped there, and against one that stays closed once its capacity has grown
+// again.
+func TestShrunkCapacityTakesNoStarts(t *testing.T) {
+	l := newPlanFixture(1)
+	n := l.ledger.Nodes["vm-000"]
+	report := func(milliCPU, memoryMB int64, ended ...fleet.End) {
+		e := n.Executor
+		e.Capacity = structs.Resources{MilliCPU: milliCPU, MemoryMB: memoryMB}
+		l.ledger.Report(n, ledger.Report{Executor: &e}, l.now) // the description comes without lists
+		var running []fleet.Running
+		for id, r := range n.Runs {
+			if len(ended) == 0 || id != ended[0].Task {
+				running = append(running, fleet.Running{Task: id, Run: r.Number, Percent: 100})
+			}
+		}
+		l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true, Running: running, Ended: ended}, l.now)
+		l.plan.plan(l.now)
+	}
+	l.submit("short", fleet.Step{Count: 4, Need: structs.Resources{MilliCPU: 8000, MemoryMB: 1000}})
+	l.plan.plan(l.now)
+	require.Len(t, n.Runs, 4)
+
+	e := n.Executor
+	e.Capacity.MilliCPU = 24000
+	l.ledger.Report(n, ledger.Report{Executor: &e}, l.now)
+	l.submit("filling", fleet.Step{Count: 1, Need: structs.Resources{MilliCPU: 1000, MemoryMB: 100}, Fills: true, Image: "f"})
+	l.submit("next", fleet.Step{Count: 1, Need: structs.Resources{MilliCPU: 8000, MemoryMB: 1000}})
+	l.plan.plan(l.now)
+	require.Len(t, n.Runs, 4, "the plan after the report knows the capacity")
+	report(24000, 128000)
+	require.Len(t, n.Runs, 4)
+	stopped := n.Runs[fleet.TaskID{Job: "short"}]
+	l.ledger.Stop(stopped, "test")
+	report(24000, 128000)
+	require.Len(t, n.Runs, 4, "the run that is being stopped still counts")
+	l.ledger.Cancel("short", l.now)
+	report(24000, 128000, fleet.End{Number: 1, Task: stopped.ID, Run: 1, Reason: fleet.EndStopped})
+	require.NotContains(t, n.Runs, fleet.TaskID{Job: "next"}, "the rest of the capacity is in use")
+	report(32000, 128000)
+	require.Contains(t, n.Runs, fleet.TaskID{Job: "next"})
+}
+
 // Guards against clips that wait behind lasting tasks for the capacity that frees up,
 // and against estimates of chains that leave out dependencies.
 func TestShortTasksGetWhatFreesUp(t *testing.T) {
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -176,11 +176,11 @@
 		if e.Seq < old.Seq {
 			return
 		}
-		changed := old.Draining != e.Draining
+		changed := old.Draining != e.Draining || old.Capacity != e.Capacity
 		a.executor = &e
 		if changed {
-			a.opts.Log.Info("Executor changed its state.", "instance", e.Instance, "draining", e.Draining, "remaining", e.DrainFor)
-			if e.Draining {
+			a.opts.Log.Info("Executor changed its state.", "instance", e.Instance, "draining", e.Draining, "remaining", e.DrainFor, "capacity", e.Capacity)
+			if e.Draining || !old.Capacity.Fits(e.Capacity) {
 				a.withdrawStarts()
 			}
 			a.report(ledger.Report{})
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -13,6 +13,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -243,3 +244,43 @@
 	}
 	require.Equal(t, map[int]fleet.OrderResult{0: fleet.OrderRevoked, 1: fleet.OrderBusy}, results)
 }
+
+// Guards against a start that the executor carries out seconds after its capacity has
+// shrunk, as an order without an answer is repeated, and against a leader that learns
+// of the capacity only with the next lists.
+func TestStartIsNotRepeatedOnceTheCapacityHasShrunk(t *testing.T) {
+	a, x := newTestAgent(t)
+	a.executor.Capacity = structs.Resources{MilliCPU: 16000, MemoryMB: 64000}
+	shrunk := fleet.Executor{Instance: "x@1", Born: firstBorn, Seq: 1, Capacity: structs.Resources{MilliCPU: 16000, MemoryMB: 32000}}
+	a.post(context.Background(), func() { a.startRun(a.session, fleet.StartOrder{Task: fleet.TaskID{Job: "job"}, Run: 1}) })
+	start := <-x.calls
+	require.False(t, start.hold)
+	a.Announce(shrunk)
+	report := (<-a.session.outbox).GetNodeReport()
+	require.Equal(t, int64(32000), report.GetExecutor().GetCapacity().GetMemoryMb())
+	close(start.answer)
+	for {
+		select {
+		case c := <-x.calls:
+			require.True(t, c.hold, "a start that was ordered for a larger capacity")
+			c.answer <- fleet.RunLists{Born: firstBorn, Clock: time.Second}
+		case frame := <-a.session.outbox:
+			results := frame.GetNodeReport().GetResults()
+			if len(results) == 0 {
+				continue
+			}
+			require.Equal(t, uint32(fleet.OrderRevoked), results[0].GetResult())
+			grown := shrunk
+			grown.Seq, grown.Capacity.MemoryMB = 2, 64000
+			a.Announce(grown)
+			a.post(context.Background(), func() { a.startRun(a.session, fleet.StartOrder{Task: fleet.TaskID{Job: "job"}, Run: 2}) })
+			for c := range x.calls {
+				if !c.hold {
+					close(c.answer)
+					return
+				}
+				c.answer <- fleet.RunLists{Born: firstBorn, Clock: time.Second}
+			}
+		}
+	}
+}
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -27,9 +27,9 @@
 }
 
 // withdrawStarts keeps the start orders that have no answer yet from being called
-// again. An executor that leaves may be given tasks for a short time only after its
-// announcement was acknowledged, but calls are repeated for as long as they get no
-// answer.
+// again. An executor that leaves, or whose capacity has shrunk, may be given tasks as
+// before for a short time only, but calls are repeated for as long as they get no
+// answer. The leader orders those that still fit once more.
 func (a *Agent) withdrawStarts() {
 	for _, o := range a.orders {
 		if !o.stop {
