place: start no filling task beside a task over its target

A filling task that is halted beside a task over its target is stopped after 1 s, to free its memory, and is ready again. An image that counts as harmless may be the cause all the same.

No filling task is placed beside a task over its target. TestNoFillingTaskStartsBesideATaskOverItsTarget failed before.

--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -144,11 +144,11 @@
 }
 
 // isTolerable reports whether a filling task may run beside the serving tasks of
-// a VM.
+// a VM. None starts beside a task over its target, whatever the cause.
 func isTolerable(t *Task, vm *VM, interference Interference) bool {
 	for _, s := range vm.Serving {
 		p := interference(s.Image, t.Image)
-		if p > maxInterference || s.Level > busyLevel && p > trustedInterference {
+		if s.Level > 1 || p > maxInterference || s.Level > busyLevel && p > trustedInterference {
 			return false
 		}
 	}
--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -67,6 +67,18 @@
 	require.Equal(t, -1, Choose(task, []*VM{busy}, interference))
 }
 
+// Guards against filling tasks that are started at full pace beside a task over its
+// target, time and again, as those that are halted there are stopped.
+func TestNoFillingTaskStartsBesideATaskOverItsTarget(t *testing.T) {
+	over, near := vm("over", 64), vm("near", 16)
+	over.Serving = []ServingTask{{Image: "feed", Level: 1.01}}
+	near.Serving = []ServingTask{{Image: "feed", Level: 0.99}}
+	task := &Task{Pool: "pool", Image: "harmless", Need: cpu(4), Fills: true}
+	require.Equal(t, 1, Choose(task, []*VM{over, near}, noInterference))
+	task.Forced = true
+	require.Equal(t, -1, Choose(task, []*VM{over}, noInterference))
+}
+
 // Guards against serving tasks on all VMs, which leaves none for the filling tasks
 // that disturb every serving image. The load is modelled on the start of a day
 // of a booking service: 54 serving tasks of 3.2 cores on 11 VMs of 16 and 24 cores.
