lead: handle the end of a session that the leader has ended itself

Cause: the end of a session with an agent was posted to the event loop with the session's own context. If that had ended first, because a frame could not be sent or the outbox was full, the select between the queue and the context took either at random, and half of such ends were not handled. The leader then took the agent as connected and its lists as current: the first lists of the next session did not repeat the lost orders, and without a next session no lease of the VM expired. Change: the end is posted with the context of the term. As it is now also posted for a link that was removed, it leaves the node alone if the VM has a new link by then.

--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -92,8 +92,8 @@
 
 // session opens a session, announces the leader's term, sends the queued orders and
 // passes on reports until the session ends.
-func (n *nodeLink) session(ctx context.Context, l *Leader, name string) {
-	ctx, cancel := context.WithCancel(ctx)
+func (n *nodeLink) session(termCtx context.Context, l *Leader, name string) {
+	ctx, cancel := context.WithCancel(termCtx)
 	defer cancel()
 	session, err := wire.Dial(ctx, *n.address.Load(), wire.Config{})
 	if err != nil {
@@ -129,8 +129,8 @@
 	for {
 		frame, err := stream.Receive(reportTimeout)
 		if err != nil {
-			l.post(ctx, func() { l.handleDisconnect(n, name, err) })
-			// post fails if the session's own context has ended first.
+			// The session's own context may have ended first, and post would fail with it.
+			l.post(termCtx, func() { l.handleDisconnect(n, name, err) })
 			return
 		}
 		if later := frame.GetLead(); later != nil {
@@ -151,6 +151,9 @@
 		return
 	}
 	n.connected, n.pendingReport = false, 0
+	if l.links[name] != n { // the VM was removed, and may be registered again
+		return
+	}
 	l.opts.Log.Warn("Session with agent lost.", "vm", name, "err", err)
 	if node := l.ledger.Nodes[name]; node != nil {
 		l.ledger.Disconnected(node)
