lead: watch the leader's key and the configuration from the time of their read

Callers did not notice; operators saw an entry that read the leader's key 5 times a second and the whole configuration every 0.7 s, until either changed, once the store had dropped the history since their last changes. The store's reads are priced and limited, and a relayed configuration is large. The read states the store's revision, after which a watch misses no change either. Found by reading.

--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -60,7 +60,7 @@
 		e.removeOwnKey(ctx, item.Revision)
 		return
 	}
-	after := item.Revision
+	after := max(item.Revision, item.AsOf) // the store may have dropped the history after the revision
 	for ctx.Err() == nil {
 		changes, next, err := e.opts.Store.Watch(ctx, fleet.LeaderKey, after, leaderWatchTimeout)
 		if err != nil {
--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		e.adopt(item)
-		after := item.Revision
+		after := max(item.Revision, item.AsOf) // the store may have dropped the history after the revision
 		for ctx.Err() == nil {
 			changes, next, err := e.opts.Store.Watch(ctx, e.source.Prefix, after, configWatchTimeout)
 			if err != nil {
