lead: read only a lost page again when the state is read again

Callers could see jobs that wait, and cancelled ones that run on, for long after the store had dropped its history: the leader may read the state again and again without reaching its end. Cause: the second reading gave up on the first page without an answer, and the next try began with the first page. The load of a new leader repeats the page. Change: both readings use the same reader, which repeats a page until the term has ended. Evidence: TestStateIsReadAgainFromALossyStore failed before: its reload ended with the first lost page.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
@@ -14,9 +16,15 @@
 )
 
 // load restores the ledger from the store: jobs, cancellations, VMs and progress. It
-// returns the revision from which to watch for changes.
+// returns the revision from which to watch for changes. After each page it handles the
+// events of the leader, such as the confirmations of its term, and it fails only once the
+// term has ended, as the next leader would have to read the same.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
-	state, err := readState(ctx, &termReader{l.opts.Store, l})
+	state, err := readState(ctx, &stateReader{l.opts.Store, l.opts.Log, func() error {
+		l.drainEvents()
+		l.checkTerm(time.Now())
+		return l.deposed
+	}})
 	if err != nil {
 		return 0, err
 	}
@@ -77,30 +85,30 @@
 	}
 }
 
-// termReader is a store for the load of the state. Its pages are read again after a
-// failure until the term ends, as the next leader would have to read the same. After
-// each page it handles the events of the leader, such as the confirmations of its term.
-type termReader struct {
+// stateReader is a store whose pages are read again after a failure until ctx ends or
+// afterPage, which is called after each page, returns an error. One lost page of many
+// would else have all of them read again.
+type stateReader struct {
 	fleet.Store
-	leader *Leader
+	log       *log.Logger
+	afterPage func() error
 }
 
 // Page implements fleet.Store.
-func (r *termReader) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
+func (r *stateReader) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
 	for {
 		page, err := r.Store.Page(ctx, prefix, after)
-		r.leader.drainEvents()
-		r.leader.checkTerm(time.Now())
+		ended := r.afterPage()
 		if ctx.Err() != nil {
 			return page, ctx.Err()
 		}
-		if r.leader.deposed != nil {
-			return page, r.leader.deposed
+		if ended != nil {
+			return page, ended
 		}
 		if err == nil {
 			return page, nil
 		}
-		r.leader.opts.Log.Warn("Page of the state not read, trying again.", "prefix", prefix, "after", after, "err", err)
+		r.log.Warn("Page of the state not read, trying again.", "prefix", prefix, "after", after, "err", err)
 		fleet.Sleep(ctx, pageRetry)
 	}
 }
--- a/internal/fleet/lead/watch.go
+++ b/internal/fleet/lead/watch.go
@@ -35,12 +35,11 @@
 
 // reload reads the state again after the store has dropped the history of the changes
 // after a revision, and posts what is new to the event loop. It returns the revision
-// from which to watch for changes.
+// from which to watch for changes, and fails only once ctx has ended.
 func (l *Leader) reload(ctx context.Context, after uint64) (uint64, error) {
 	l.opts.Log.Warn("The store has dropped the history after this revision, reading the state again.", "after", after)
-	state, err := readState(ctx, l.opts.Store)
-	if err != nil {
-		l.opts.Log.Warn("State not read again.", "err", err)
+	state, err := readState(ctx, &stateReader{l.opts.Store, l.opts.Log, func() error { return nil }})
+	if err != nil { // ctx has ended
 		return 0, err
 	}
 	l.post(ctx, func() {
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -11,6 +11,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/kv"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -115,3 +116,30 @@
 	require.NotContains(t, l.ledger.Nodes, "gone")
 	require.Contains(t, l.links, "stays")
 }
+
+// lossyStore is a store that answers every other page only.
+type lossyStore struct {
+	fleet.Store
+	pages int
+}
+
+func (s *lossyStore) Page(ctx context.Context, prefix, after string) (fleet.Page, error) {
+	if s.pages++; s.pages%2 == 0 {
+		return fleet.Page{}, kv.ErrUncertain
+	}
+	return s.Store.Page(ctx, prefix, after)
+}
+
+// Guards against a state that is never read again after the history was dropped, because
+// each lost page has it read from its beginning.
+func TestStateIsReadAgainFromALossyStore(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 1100)
+	lossy := &lossyStore{Store: s.Store}
+	s.Store = lossy
+	_, err := l.reload(context.Background(), 0)
+	require.NoError(t, err)
+	l.handle(<-l.events)
+	require.Len(t, l.ledger.Jobs, 1100)
+	require.Equal(t, 7, lossy.pages, "3 pages of jobs and one of progress, all but the first twice")
+}
