lead: relay calls first through an entry that reaches the store

Callers could see: submissions at an entry that the store does not answer fail as uncertain although another entry reaches the store.

Cause: peers.ask moved each entry that answered anything to the front of the order in which calls are relayed: the leader on each notice or question, and an entry that answers that it does not reach the store either. If such an entry is cut off too, the next relayed call waits 0.6 s of its 0.8 s for it.

Now only relayCall moves an entry to the front, when the store has answered through it.

Test: TestRelayPrefersAnEntryThatReachesTheStore failed 3 of 3 before and passes 20 of 20. go test ./internal/fleet/... passes but for the known TestJobCancelledWhileHistoryIsDroppedStaysCancelled.

--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -26,7 +26,7 @@
 // peers holds the sessions with other entries. They are opened on first use.
 type peers struct {
 	mu       sync.Mutex
-	known    []string                 // addresses; the one that answered last comes first
+	known    []string                 // addresses; the one that last reached the store for this entry comes first
 	sessions map[string]*wire.Session // by address
 }
 
@@ -113,7 +113,6 @@
 	if reply == nil {
 		return nil, errors.New("another frame instead of a reply")
 	}
-	p.prefer(address)
 	return reply, nil
 }
 
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -429,6 +429,7 @@
 			failed = leastCertain(failed, err)
 			continue
 		}
+		e.peers.prefer(address)
 		return out, nil
 	}
 	return storeReply{}, failed
--- a/internal/fleet/lead/relay_test.go
+++ b/internal/fleet/lead/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/kv"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 	"vanillalock.example/vanillalock/internal/wire/pb"
@@ -304,3 +306,34 @@
 	_, _, err = r.Watch(context.Background(), "k", next, 10*time.Millisecond)
 	require.NoError(t, err)
 }
+
+// listeningEntry returns the address of an entry that serves relayed calls from a store.
+func listeningEntry(t *testing.T, ctx context.Context, store fleet.Store) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := NewEntry(Options{Store: store}, listener, ConfigSource{})
+	go e.accept(ctx)
+	return listener.Addr().String()
+}
+
+// Guards against calls that are relayed to an entry which does not reach the store
+// either, such as a leader that has just answered a notice, and so time out.
+func TestRelayPrefersAnEntryThatReachesTheStore(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	backend := standin.NewStore()
+	put(t, backend, map[string]string{"k": "v"})
+	down := standin.NewStore()
+	down.SetFaults(standin.StoreFaults{Down: true})
+	cut, reaching := listeningEntry(t, ctx, down), listeningEntry(t, ctx, backend)
+	e := NewEntry(Options{Store: down}, nil, ConfigSource{})
+	e.peers.set([]string{cut, reaching})
+
+	reply, err := e.relayCall(ctx, storeCall{Get: "k"})
+	require.NoError(t, err)
+	require.Equal(t, "v", string(reply.Item.Value))
+	require.Equal(t, []string{reaching, cut}, e.peers.addresses())
+	_, err = e.peers.ask(ctx, cut, &pb.FleetAsk{Kind: link.AskStore, Job: []byte(`{"get":"k"}`)})
+	require.NoError(t, err)
+	require.Equal(t, []string{reaching, cut}, e.peers.addresses())
+}
