--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -10,6 +10,8 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
 // forgetfulStore is a store that has dropped its history before the first watch.
@@ -60,3 +62,56 @@
 	require.Len(t, ready, 1)
 	require.Equal(t, "wanted", ready[0].ID.Job)
 }
+
+// Guards against a job that runs on after the notice of its cancellation came to the
+// leader before the job.
+func TestNoticeOfACancellationBeforeItsJob(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	job := jobRecord("cancelled")
+	l.reply(&pb.FleetAsk{Kind: link.AskCancelled, Id: "cancelled"})
+	l.reply(&pb.FleetAsk{Kind: link.AskAccepted, Id: "cancelled", Job: job.Value, Revision: l.term + 1})
+	require.Equal(t, ledger.Cancelled, l.ledger.Jobs["cancelled"].VisibleState())
+}
+
+// Guards against a job that ends and is forgotten, and then runs again because its
+// records were still there when the keys were read again.
+func TestForgottenJobDoesNotRunAgainAfterDroppedHistory(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 1)
+	id := fmt.Sprintf("%016x", 0)
+	missChanges(t, l, s, func() {
+		l.ledger.Cancel(id, time.Now())
+		records, err := l.ledger.Dirty(1)
+		require.NoError(t, err)
+		revision, err := s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.ProgressBase + id, Value: records[0].Value}}})
+		require.NoError(t, err)
+		l.ledger.Stored(records, revision)
+		require.Equal(t, []string{id}, l.ledger.Forget(0, time.Now().Add(time.Second)))
+		_, err = s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{jobRecord("new")}})
+		require.NoError(t, err)
+	})
+	l.ledger.Tick(time.Now().Add(time.Minute))
+	ready := l.ledger.Ready(time.Now())
+	require.Len(t, ready, 1)
+	require.Equal(t, "new", ready[0].ID.Job)
+}
+
+// Guards against a VM that is kept forever, and dialled again and again, because its
+// registration was removed while the history was dropped.
+func TestVMRemovedWhileHistoryIsDroppedIsForgotten(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 0)
+	for _, vm := range []string{"gone", "stays"} {
+		_, err := s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.NodeBase + vm, Value: []byte(`{"address":"127.0.0.1:1"}`)}}})
+		require.NoError(t, err)
+	}
+	missChanges(t, l, s, func() {
+		_, err := s.Commit(context.Background(), fleet.Txn{Delete: []string{fleet.NodeBase + "gone"}})
+		require.NoError(t, err)
+	})
+	require.NotContains(t, l.links, "gone")
+	require.NotContains(t, l.ledger.Nodes, "gone")
+	require.Contains(t, l.links, "stays")
+}
