lead: start suspects of one crash in groups

With one suspect a VM on at most a quarter of the VMs, bystanders of a crash waited long: up to 38 suspects a crash, and 0.4 s each. Groups of four clear most of them at once. A task under which two executors have crashed still starts apart from other suspects, and is given up at the third crash if that has no other suspect.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -44,7 +44,9 @@
 	clearInterval = 700 * time.Millisecond
 	// maxProbation is the divisor of the number of VMs that gives how many of them may
 	// have a suspected task on probation at a time.
-	maxProbation     = 4
+	maxProbation = 4
+	// suspectGroup is the largest number of suspected tasks that start together.
+	suspectGroup     = 4
 	startedUpPercent = 100 // percent that a lasting task reports once it has started up
 )
 
@@ -150,8 +152,9 @@
 	return nil
 }
 
-// startSuspects starts ready tasks that may crash their executors, each on a VM with few
-// others, which takes no further task until the executor has survived the start.
+// startSuspects starts ready tasks that may crash their executors, on VMs with few
+// others, which take no further tasks until the executor has survived the start. Tasks
+// under which one executor has crashed start in groups, others alone.
 func (p *planner) startSuspects(ready []ledger.ReadyStep, vms []*place.VM, nodes []*ledger.Node, failed place.Failed, now time.Time) {
 	left := max(1, len(vms)/maxProbation)
 	for _, vm := range vms {
@@ -159,30 +162,44 @@
 			left--
 		}
 	}
+	group, room := -1, 0
 	for _, r := range ready {
 		for _, t := range r.Tasks {
 			if !t.Suspect() {
 				continue
 			}
-			if left <= 0 || !p.budget.open(now) {
+			if !p.budget.open(now) {
 				return
 			}
 			task := p.describeTask(t, now)
 			task.Isolated = true
-			if failed.Covers(&task) {
-				continue
+			i := -1
+			if room > 0 && !t.StartsAlone() {
+				vms[group].Closed = false
+				if place.Fits(&task, vms[group], p.estimator.DisturbanceProbability) {
+					i = group
+					room--
+				}
+				vms[group].Closed = true
 			}
-			i := place.Choose(&task, vms, p.estimator.DisturbanceProbability)
 			if i < 0 {
-				failed.Add(&task)
-				if !task.Fills {
-					p.preempt(&task, r.Step, vms, nodes, now)
+				if left <= 0 || failed.Covers(&task) {
+					continue
+				}
+				if i = place.Choose(&task, vms, p.estimator.DisturbanceProbability); i < 0 {
+					failed.Add(&task)
+					if !task.Fills {
+						p.preempt(&task, r.Step, vms, nodes, now)
+					}
+					continue
+				}
+				left--
+				if !t.StartsAlone() {
+					group, room = i, suspectGroup-1
 				}
-				continue
 			}
 			vms[i].Take(&task, expectedUse(r.Step.Spec))
 			vms[i].Closed = true
-			left--
 			p.budget.spend(now, p.payload(t, nodes[i].Name))
 			p.ledger.Start(t, nodes[i], "", now)
 		}
--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -19,7 +19,7 @@
 	// start ordered later than this after its last lists has not reached it.
 	listInterval = 500 * time.Millisecond
 	// The job of a task fails after maxSoleCrashes crashes in a row with no other
-	// suspect, or maxCrashes with others.
+	// suspect, or as many and one more if one of them had no other, or maxCrashes.
 	maxSoleCrashes = 2
 	maxCrashes     = 4
 )
@@ -35,6 +35,15 @@
 // has survived a start of it since.
 func (t *Task) Suspect() bool { return t.crashes.All > 0 }
 
+// StartsAlone reports whether several executors have crashed at the start of the task,
+// so that it starts apart from other suspects.
+func (t *Task) StartsAlone() bool { return t.crashes.All > 1 }
+
+// limit reports whether the task is to be given up.
+func (c crashes) limit() bool {
+	return c.All >= maxCrashes || c.Sole >= maxSoleCrashes || c.Sole > 0 && c.All > maxSoleCrashes
+}
+
 // StartingRuns returns the number of runs of which it is not known that the executor
 // has survived their start.
 func (n *Node) StartingRuns() int {
@@ -106,7 +115,7 @@
 		}
 		l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.All, len(runs))})
 		l.progressChanged(t.Step.Job)
-		if t.crashes.All >= maxCrashes || t.crashes.Sole >= maxSoleCrashes {
+		if t.crashes.limit() {
 			l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: n.Name, Reason: "crashes the executors that start it"})
 			l.finish(t.Step.Job, Failed, now)
 		}
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -285,3 +285,14 @@
 	require.False(t, task.Suspect())
 	require.Equal(t, 1, task.Failures())
 }
+
+// Guards against tasks that are given up after a single crash that is certainly theirs,
+// and against tasks that are not given up before three starts after the third crash.
+func TestLimitOfCrashes(t *testing.T) {
+	for _, c := range []crashes{{}, {All: 1, Sole: 1}, {All: 2}, {All: 2, Sole: 1}, {All: 3}} {
+		require.False(t, c.limit(), "%+v", c)
+	}
+	for _, c := range []crashes{{All: 2, Sole: 2}, {All: 3, Sole: 1}, {All: 4}} {
+		require.True(t, c.limit(), "%+v", c)
+	}
+}
