ledger: give up tasks that crash executors some time after their start

Callers would see the executors of a task go down without end, as BUDGET forbids, if the task crashes them later than 0.1 s after its start: each start that an executor survives for so long cleared the task. Change: crashes within 10 s of a start are counted apart. The fifth in a row gives the task up; a run that ends as done or failed, that lasts 10 s, or that saves new progress clears it. No isolation is used for them, so that ordinary crashes delay nobody. Tests: TestTaskThatCrashesExecutorsLateIsGivenUp (no limit before), TestCrashesOfATaskThatGetsOnDoNotCount.

--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -7,10 +7,11 @@
 	"time"
 )
 
-// A task may crash each executor that starts it, within milliseconds. A crash is known
-// by the next instance of the executor, and makes all runs suspects that may have been
-// starting then. A suspected task is started again on a VM where nothing else starts
-// (package lead), so that a second crash shows which of them was the cause.
+// A task may crash each executor that starts it, mostly within milliseconds. A crash is
+// known by the next instance of the executor, and makes all runs suspects that may have
+// been starting then. A suspected task is started again on a VM where nothing else starts
+// (package lead), so that a second crash shows which of them was the cause. A task that
+// crashes executors later is known by the number of its runs alone.
 const (
 	// survivedAfter is how long a run has to be listed until its start is known not to
 	// crash the executor.
@@ -22,6 +23,10 @@
 	// suspect, or as many and one more if one of them had no other, or maxCrashes.
 	maxSoleCrashes = 2
 	maxCrashes     = 4
+	// It also fails after maxLateCrashes crashes in a row within harmlessAfter of the
+	// starts of the task.
+	maxLateCrashes = 5
+	harmlessAfter  = 10 * time.Second
 )
 
 // crashes counts crashes of executors that may be due to the start of a task, since the
@@ -29,6 +34,9 @@
 type crashes struct {
 	All  int `json:"a,omitempty"`
 	Sole int `json:"s,omitempty"` // with no other suspect
+	// Late counts the crashes of executors that had survived the start, in a row as long
+	// as no run of the task ends otherwise or lasts.
+	Late int `json:"l,omitempty"`
 }
 
 // Suspect reports whether an executor has crashed at the start of the task, and none
@@ -41,7 +49,7 @@
 
 // limit reports whether the task is to be given up.
 func (c crashes) limit() bool {
-	return c.All >= maxCrashes || c.Sole >= maxSoleCrashes || c.Sole > 0 && c.All > maxSoleCrashes
+	return c.All >= maxCrashes || c.Late >= maxLateCrashes || c.Sole >= maxSoleCrashes || c.Sole > 0 && c.All > maxSoleCrashes
 }
 
 // StartingRuns returns the number of runs of which it is not known that the executor
@@ -84,40 +92,70 @@
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
-	if r.survived || now.Sub(r.confirmedAt) < survivedAfter {
+	listed := now.Sub(r.confirmedAt)
+	r.survived = r.survived || listed >= survivedAfter
+	if r.Task == nil || !r.survived {
 		return
 	}
-	r.survived = true
-	if r.Task != nil && r.Task.Suspect() {
+	cleared := crashes{Late: r.Task.crashes.Late}
+	if listed >= harmlessAfter {
+		cleared.Late = 0
+	}
+	if r.Task.crashes != cleared {
 		l.log(Event{What: "suspect cleared", Task: r.ID, Run: r.Number, Node: r.Node.Name})
-		r.Task.crashes = crashes{}
+		r.Task.crashes = cleared
 		l.progressChanged(r.Task.Step.Job)
 	}
 }
 
-// countCrash counts the crash of an executor for the tasks of the runs that may have
-// been starting, and gives up those that have reached the limit. An executor that was
-// draining has left instead.
+// lateSuspects returns the runs that may crash executors, although this one has survived
+// their start.
+func (n *Node) lateSuspects() []*Run {
+	var runs []*Run
+	for _, r := range n.Runs {
+		if r.survived && n.ListedAt.Sub(r.confirmedAt) < harmlessAfter {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
+// countCrash counts the crash of an executor for the tasks of the runs that may be its
+// cause, and gives up those that have reached a limit. An executor that was draining has
+// left instead.
 func (l *Ledger) countCrash(n *Node, now time.Time) {
-	runs := append(n.lapsedSuspects, n.suspects()...)
-	n.lapsedSuspects = nil
+	starting, late := append(n.lapsedSuspects, n.suspects()...), append(n.lapsedLate, n.lateSuspects()...)
+	n.lapsedSuspects, n.lapsedLate = nil, nil
 	if n.Executor.Draining || n.listings == 0 {
 		return
 	}
-	for _, r := range runs {
-		t := r.Task
-		if t == nil || t.Done || t.Step.Job.Final != "" {
-			continue
-		}
-		t.crashes.All++
-		if len(runs) == 1 {
-			t.crashes.Sole++
+	for _, r := range starting {
+		if t := r.Task; isOpen(t) {
+			t.crashes.All++
+			if len(starting) == 1 {
+				t.crashes.Sole++
+			}
+			l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.All, len(starting))})
+			l.judge(r, now)
 		}
-		l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.All, len(runs))})
-		l.progressChanged(t.Step.Job)
-		if t.crashes.limit() {
-			l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: n.Name, Reason: "crashes the executors that start it"})
-			l.finish(t.Step.Job, Failed, now)
+	}
+	for _, r := range late {
+		if t := r.Task; isOpen(t) {
+			t.crashes.Late++
+			l.judge(r, now)
 		}
 	}
 }
+
+// isOpen reports whether a task is known and may run again.
+func isOpen(t *Task) bool { return t != nil && !t.Done && t.Step.Job.Final == "" }
+
+// judge gives up the task of a run if its crashes have reached a limit.
+func (l *Ledger) judge(r *Run, now time.Time) {
+	job := r.Task.Step.Job
+	l.progressChanged(job)
+	if r.Task.crashes.limit() {
+		l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: fmt.Sprintf("crashes the executors that start it: %+v", r.Task.crashes)})
+		l.finish(job, Failed, now)
+	}
+}
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -149,14 +149,47 @@
 	job := w.add("service", false, step)
 	w.listInstance("a", 1, nil)
 	for instance := 1; instance < 20; instance++ {
-		w.run("a", instance, survivedAfter)
+		w.run("a", instance, harmlessAfter)
 		w.crash("a", instance+1)
-		require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect())
+		require.Zero(t, job.Occurrences[0].Steps[0].Tasks[0].crashes)
 		require.Len(t, w.ready(), 1)
 	}
 	require.Empty(t, job.Final)
 }
 
+// Guards against a task that crashes its executors without limit, each some time after
+// the start.
+func TestTaskThatCrashesExecutorsLateIsGivenUp(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("deadly", false, one())
+	w.listInstance("a", 1, nil)
+	starts := 0
+	for instance := 1; job.Final == ""; instance++ {
+		require.Less(t, instance, 2*maxLateCrashes)
+		w.run("a", instance, 2*time.Second)
+		require.False(t, job.Occurrences[0].Steps[0].Tasks[0].Suspect(), "others need not keep apart from it")
+		starts++
+		w.crash("a", instance+1)
+	}
+	require.Equal(t, Failed, job.Final)
+	require.Equal(t, maxLateCrashes, starts)
+}
+
+// Guards against a long task that fails because executors crash now and then, although it
+// gets on from crash to crash.
+func TestCrashesOfATaskThatGetsOnDoNotCount(t *testing.T) {
+	w := newFixture(t, "a")
+	job := w.add("long", false, one())
+	w.listInstance("a", 1, nil)
+	for instance := 1; instance < 4*maxLateCrashes; instance++ {
+		w.run("a", instance, 2*time.Second)
+		task := job.Occurrences[0].Steps[0].Tasks[0]
+		w.listInstance("a", instance, []fleet.Running{{Task: task.ID, Run: task.LastRun, Checkpoint: fmt.Sprint(instance)}})
+		w.crash("a", instance+1)
+	}
+	require.Empty(t, job.Final)
+}
+
 // Guards against a lasting task that crashes the executors that start it without limit.
 func TestLastingTaskThatCrashesItsExecutorsIsGivenUp(t *testing.T) {
 	w := newFixture(t, "a")
@@ -289,10 +322,10 @@
 // Guards against tasks that are given up after a single crash that is certainly theirs,
 // and against tasks that are not given up before three starts after the third crash.
 func TestLimitOfCrashes(t *testing.T) {
-	for _, c := range []crashes{{}, {All: 1, Sole: 1}, {All: 2}, {All: 2, Sole: 1}, {All: 3}} {
+	for _, c := range []crashes{{}, {All: 1, Sole: 1}, {All: 2}, {All: 2, Sole: 1}, {All: 3}, {Late: 4}} {
 		require.False(t, c.limit(), "%+v", c)
 	}
-	for _, c := range []crashes{{All: 2, Sole: 2}, {All: 3, Sole: 1}, {All: 4}} {
+	for _, c := range []crashes{{All: 2, Sole: 2}, {All: 3, Sole: 1}, {All: 4}, {Late: 5}} {
 		require.True(t, c.limit(), "%+v", c)
 	}
 }
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -157,9 +157,10 @@
 	highestEnd   uint64 // highest number of a listed end of the instance
 	ackedEnds    uint64 // Orders.Stored as last taken
 	unstoredEnds []unstoredEnd
-	// lapsedSuspects are the suspects among the runs that were closed when the lease
-	// expired. They count once a new instance shows that the executor has crashed.
-	lapsedSuspects []*Run
+	// lapsedSuspects and lapsedLate are the suspects and late suspects among the runs that
+	// were closed when the lease expired. They count once a new instance shows that the
+	// executor has crashed.
+	lapsedSuspects, lapsedLate []*Run
 }
 
 // unstoredEnd is an end that is acknowledged once version of the job is stored.
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -129,7 +129,7 @@
 // expireLease closes all runs of a node whose executor's lease has expired, and
 // drops the orders to start further ones.
 func (l *Ledger) expireLease(n *Node, reason string, now time.Time) {
-	n.lapsedSuspects = append(n.lapsedSuspects, n.suspects()...)
+	n.lapsedSuspects, n.lapsedLate = append(n.lapsedSuspects, n.suspects()...), append(n.lapsedLate, n.lateSuspects()...)
 	l.closeRuns(n, reason, now)
 	n.orders.Starts = nil
 }
@@ -181,7 +181,7 @@
 func (l *Ledger) applyLists(n *Node, r Report, now time.Time) {
 	first := !n.Listed
 	n.Listed, n.ListedAt = true, now
-	n.lapsedSuspects = nil
+	n.lapsedSuspects, n.lapsedLate = nil, nil
 	n.listings++
 	slices.SortFunc(r.Ended, func(a, b fleet.End) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range r.Ended {
@@ -249,6 +249,9 @@
 	}
 	run.Task.Step.Job.Started = true
 	if running.Checkpoint != "" {
+		if running.Checkpoint != run.Task.Checkpoint {
+			run.Task.crashes.Late = 0
+		}
 		run.Task.Checkpoint = running.Checkpoint
 	}
 }
