entry: keep the configuration that was read while the control loop is busy

Callers of the product's own entry could be refused for up to a minute after its start, or served by an earlier configuration. Cause: a full read passed the configuration to the control loop with the context of the store call, 1 s in all. With a loop that was busy for the rest of it the configuration was dropped, but the read counted as done, and the watch went on after its revision: the next full read follows after 60 s. Change: only the store call has the time limit. The watch posts its changes the same way. Found by reading.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -76,9 +76,9 @@
 // listConfig reads and applies the whole configuration and returns its
 // revision.
 func (e *Entry) listConfig(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, e.opts.StoreTimes.CallTimeout)
 	defer cancel()
-	objects, revision, err := e.config.List(ctx)
+	objects, revision, err := e.config.List(callCtx)
 	if err != nil {
 		return 0, err
 	}
