lead: do not add a forgotten job again

Cause: the ledger lacks a job from the end of its retention on, and the leader added each job that its ledger lacked. Two late views still showed such a job: a watch that stood still for longer than the retention, while the job came by notice (its removal, which follows, was ignored), and a reading of the state whose progress was read before the end was stored. Change: the leader keeps the ids of forgotten jobs, with the revision that deleted their records, until the watch or a reading shows that the records are gone, and adds none of them that was created before. A job that is submitted anew under the same id is created later and is added.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -102,7 +102,7 @@
 	}
 	l.commits++
 	go func() {
-		_, err := l.opts.Store.Commit(ctx, txn)
+		revision, err := l.opts.Store.Commit(ctx, txn)
 		l.post(ctx, func() {
 			l.commits--
 			if err != nil {
@@ -110,6 +110,11 @@
 				l.commitAfter = time.Now().Add(commitRetry)
 				return
 			}
+			for _, id := range l.expiredJobs[:n] {
+				if _, ok := l.forgotten[id]; ok {
+					l.forgotten[id] = revision
+				}
+			}
 			l.expiredJobs = l.expiredJobs[n:]
 		})
 	}()
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"runtime/debug"
 	"time"
 
@@ -102,6 +103,10 @@
 	deposed         error
 	storedLearned   []byte   // last stored value of fleet.LearnedKey
 	expiredJobs     []string // IDs of jobs whose records are to be deleted
+	// forgotten holds the jobs that the ledger has forgotten, until the watch or a
+	// reading of the state has shown that their records are gone, with the revision
+	// that deleted them. A job that was created later is another one.
+	forgotten map[string]uint64
 	// exclusiveSince is a store revision from which on no earlier leader orders
 	// starts. 0: not known yet.
 	exclusiveSince uint64
@@ -115,7 +120,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), links: map[string]*nodeLink{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
@@ -311,12 +316,20 @@
 	}
 	if now.Sub(l.lastMaintenance) > maintenanceInterval {
 		l.lastMaintenance = now
-		l.expiredJobs = append(l.expiredJobs, l.ledger.Forget(l.opts.StatusKept+l.opts.MaxLease, now)...)
+		l.forget(l.opts.StatusKept+l.opts.MaxLease, now)
 		l.removeUnreachable(ctx, now)
 		l.storeLearned(ctx)
 	}
 }
 
+// forget drops the jobs whose retention has ended. Their records are deleted later.
+func (l *Leader) forget(keep time.Duration, now time.Time) {
+	for _, id := range l.ledger.Forget(keep, now) {
+		l.forgotten[id] = math.MaxUint64 // not deleted yet
+		l.expiredJobs = append(l.expiredJobs, id)
+	}
+}
+
 // dispatch places ready tasks, sends orders and stores changed progress.
 func (l *Leader) dispatch(ctx context.Context) {
 	if l.deposed != nil {
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -157,9 +157,11 @@
 func (l *Leader) apply(ctx context.Context, c fleet.Change, loading bool, now time.Time) {
 	switch {
 	case strings.HasPrefix(c.Key, fleet.JobBase):
-		if !c.Removed {
-			l.addJob(c.Value, c.Created, now)
+		if c.Removed {
+			delete(l.forgotten, strings.TrimPrefix(c.Key, fleet.JobBase))
+			return
 		}
+		l.addJob(c.Value, c.Created, now)
 	case strings.HasPrefix(c.Key, fleet.CancelBase):
 		if !c.Removed {
 			l.ledger.Cancel(strings.TrimPrefix(c.Key, fleet.CancelBase), now)
@@ -169,7 +171,7 @@
 	}
 }
 
-// addJob adds a stored job to the ledger, unless it is there. created is the store
+// addJob adds a stored job to the ledger, unless it is or was there. created is the store
 // revision that created it. The job counts as inherited if an earlier leader could
 // know it, and so may have started tasks of it.
 func (l *Leader) addJob(value []byte, created uint64, now time.Time) {
@@ -178,7 +180,7 @@
 		l.opts.Log.Error("Cannot decode a stored job.", "err", err)
 		return
 	}
-	if l.ledger.Jobs[job.ID] != nil {
+	if deleted, forgotten := l.forgotten[job.ID]; l.ledger.Jobs[job.ID] != nil || forgotten && created <= deleted {
 		return
 	}
 	if err := job.Validate(); err != nil {
--- a/internal/fleet/lead/watch.go
+++ b/internal/fleet/lead/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strings"
 	"time"
 
@@ -46,6 +47,7 @@
 		jobs := len(l.ledger.Jobs)
 		l.restore(ctx, state, false, time.Now())
 		l.removeUnregistered(ctx, state)
+		l.removeForgotten(state)
 		l.opts.Log.Info("State read again.", "keys", len(state.items), "revision", state.revision, "new jobs", len(l.ledger.Jobs)-jobs)
 	})
 	return state.revision, nil
@@ -66,3 +68,18 @@
 		}
 	}
 }
+
+// removeForgotten drops the forgotten jobs whose records are not part of the state that
+// was read again.
+func (l *Leader) removeForgotten(state storedState) {
+	stored := map[string]struct{}{}
+	for _, item := range state.items {
+		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok {
+			stored[id] = struct{}{}
+		}
+	}
+	maps.DeleteFunc(l.forgotten, func(id string, _ uint64) bool {
+		_, ok := stored[id]
+		return !ok
+	})
+}
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -143,3 +143,62 @@
 	require.Len(t, l.ledger.Jobs, 1100)
 	require.Equal(t, 7, lossy.pages, "3 pages of jobs and one of progress, all but the first twice")
 }
+
+// end cancels a job, stores its final state and forgets it.
+func end(t *testing.T, l *Leader, id string) {
+	l.ledger.Cancel(id, time.Now())
+	records, err := l.ledger.Dirty(1)
+	require.NoError(t, err)
+	l.ledger.Stored(records, 1)
+	l.forget(0, time.Now().Add(time.Second))
+	require.Empty(t, l.ledger.Jobs)
+}
+
+func requireNothingReady(t *testing.T, l *Leader) {
+	l.ledger.Tick(time.Now().Add(time.Minute))
+	require.Empty(t, l.ledger.Ready(time.Now()))
+}
+
+// Guards against a job that was notified, has ended and is gone, and runs again because
+// the watch stood still and shows it only now.
+func TestForgottenJobDoesNotRunAgainAfterALateWatch(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	revision, err := l.load(ctx)
+	require.NoError(t, err)
+	job := jobRecord("ended")
+	created, err := s.Commit(ctx, fleet.Txn{Put: []fleet.Write{job}})
+	require.NoError(t, err)
+	l.addJob(job.Value, created, time.Now())
+	end(t, l, "ended")
+	_, err = s.Commit(ctx, fleet.Txn{Delete: []string{job.Key}})
+	require.NoError(t, err)
+	go l.watch(ctx, revision)
+	l.handle(<-l.events)
+	requireNothingReady(t, l)
+	require.Empty(t, l.forgotten, "its removal has been seen")
+
+	_, err = s.Commit(ctx, fleet.Txn{Put: []fleet.Write{job}})
+	require.NoError(t, err)
+	l.handle(<-l.events)
+	require.Contains(t, l.ledger.Jobs, "ended", "a job that is submitted anew")
+}
+
+// Guards against a job that ends while the state is read again, and runs again by its
+// progress before the end.
+func TestJobThatEndsWhileTheStateIsReadAgain(t *testing.T) {
+	s := &slowStore{}
+	l := newLoadingLeader(t, s, 1)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	state, err := readState(context.Background(), s)
+	require.NoError(t, err)
+	end(t, l, fmt.Sprintf("%016x", 0))
+	l.restore(context.Background(), state, false, time.Now())
+	l.removeForgotten(state)
+	requireNothingReady(t, l)
+	l.removeForgotten(storedState{})
+	require.Empty(t, l.forgotten)
+}
