soak: tasks that crash the executors that start them

No stand-in could be crashed by a run, so the soak could not find it.

A Behavior that ends a run as EndUnknown now crashes the stand-in executor. It sends no announcements until the soak starts a new instance after 1 to 2 s.

The judge allows two starts after three crashes caused by the task itself (BUDGET). Crashes by other causes are not counted here, so it is lenient where several coincide. A job may be shown as failed only if all its runs fail, or if it has a task that crashes executors and two have crashed or left under it (LOST).

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -22,8 +22,9 @@
 // jobSpec is the specification of a job, which the caller passes to the executors as
 // JSON. It tells the stand-ins how runs behave.
 type jobSpec struct {
-	RunMs []int `json:"run_ms"` // run time by step; 0: until stopped
-	Fails int   `json:"fails"`  // number of first runs of each task that fail
+	RunMs   []int `json:"run_ms"`            // run time by step; 0: until stopped
+	Fails   int   `json:"fails"`             // number of first runs of each task that fail
+	Crashes bool  `json:"crashes,omitempty"` // each run crashes its executor
 }
 
 // runBehavior is a standin.Behavior that follows the jobSpec of the order.
@@ -33,6 +34,9 @@
 		return time.Millisecond, fleet.EndFailed
 	}
 	run := time.Duration(s.RunMs[o.Task.Step]) * time.Millisecond
+	if s.Crashes {
+		return run, fleet.EndUnknown
+	}
 	if o.Run <= s.Fails {
 		return min(run, 50*time.Millisecond), fleet.EndFailed
 	}
@@ -52,6 +56,7 @@
 	cancelledShare  = 0.15
 	failingShare    = 0.1
 	withdrawnShare  = 0.4                    // further jobs per job, lasting and cancelled soon
+	crashingShare   = 0.06                   // further jobs per job that crash executors, in seeds with such jobs
 	maxWithdrawTime = 300 * time.Millisecond // after the acceptance
 )
 
@@ -102,13 +107,15 @@
 	balancer   *balancer
 	rng        *rand.Rand
 	extra      *rand.Rand // for withdrawn jobs; the seeds of earlier hunts keep their draws
+	crashes    bool       // submits jobs whose tasks crash executors
+	crashRng   *rand.Rand // for these
 	client     *http.Client
 	calls      atomic.Int64
 	unanswered atomic.Int64 // calls whose connection ended without an answer
 }
 
 func (f *testFleet) newCaller(b *balancer, seed uint64) *caller {
-	c := &caller{fleet: f, balancer: b, rng: rand.New(rand.NewPCG(seed, 1)), extra: rand.New(rand.NewPCG(seed, 4))}
+	c := &caller{fleet: f, balancer: b, rng: rand.New(rand.NewPCG(seed, 1)), extra: rand.New(rand.NewPCG(seed, 4)), crashRng: rand.New(rand.NewPCG(seed, 5))}
 	dialer := &net.Dialer{Timeout: callTimeout}
 	var mu sync.Mutex
 	picks := rand.New(rand.NewPCG(seed, 3)) // under mu
@@ -160,6 +167,7 @@
 		job.steps = []fleet.Step{{Count: 2, Need: structs.Resources{MilliCPU: 1500, MemoryMB: 2000}, Lasting: true, Image: "s", TailTarget: time.Second}}
 	case rng.Float64() < failingShare:
 		spec = jobSpec{RunMs: []int{40}, Fails: 1000}
+		job.fails = true
 		job.steps = []fleet.Step{{Count: 2, Need: small}}
 	case rng.IntN(3) == 0:
 		spec.RunMs = []int{900 + rng.IntN(900)}
@@ -176,6 +184,15 @@
 	return job
 }
 
+// newCrashingJob returns a job with a task that crashes each executor that starts it.
+func (c *caller) newCrashingJob() *sentJob {
+	spec := fmt.Sprintf(`{"run_ms":[%d],"crashes":true}`, 30+c.crashRng.IntN(300))
+	return &sentJob{
+		id: fmt.Sprintf("%016x", c.crashRng.Uint64()), spec: spec, attempts: queueAttempts, crashes: true,
+		steps: []fleet.Step{{Count: 1, Need: structs.Resources{MilliCPU: 400, MemoryMB: 300}}},
+	}
+}
+
 // submit submits a job and retries until it is accepted, at most submitTries times.
 func (c *caller) submit(job *sentJob) {
 	checker := c.fleet.checker
@@ -268,6 +285,9 @@
 			fleet.Sleep(c.fleet.ctx, time.Duration(c.extra.Int64N(int64(maxWithdrawTime))))
 			c.cancel(withdrawn)
 		}
+		if c.crashes && c.crashRng.Float64() < crashingShare {
+			send(c.newCrashingJob())
+		}
 		fleet.Sleep(stop, rand.N(2*meanJobInterval))
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,17 +26,18 @@
 )
 
 const (
-	entries           = 3
-	vms               = 4
-	poolName          = "pool"
-	queueHost         = "queue.example"
-	queuePrefix       = "/q/"
-	queueAttempts     = 2
-	storePort         = 8169
-	executorPort      = 8165
-	announceInterval  = 400 * time.Millisecond
-	restartPause      = 150 * time.Millisecond // after which the platform restarts a process that has ended
-	executorClockRate = 0.98                   // speed of the executors' clocks relative to real time
+	entries              = 3
+	vms                  = 4
+	poolName             = "pool"
+	queueHost            = "queue.example"
+	queuePrefix          = "/q/"
+	queueAttempts        = 2
+	storePort            = 8169
+	executorPort         = 8165
+	announceInterval     = 400 * time.Millisecond
+	restartPause         = 150 * time.Millisecond // after which the platform restarts a process that has ended
+	executorRestartPause = time.Second            // least time after which an executor that a run has crashed is back, at most twice as long
+	executorClockRate    = 0.98                   // speed of the executors' clocks relative to real time
 )
 
 // process is a process under test with the proxies for its connections.
@@ -167,8 +168,8 @@
 		ID: "i-" + agent.node, Address: net.JoinHostPort(f.ip(executorIP+i), fmt.Sprint(executorPort)), Pool: poolName,
 		FailureDomain: "zone", Capacity: capacity, Labels: []string{"a", "r1"},
 	}, net.JoinHostPort(agent.ip, fmt.Sprint(wire.ControlPort)))
-	x.StartInstance(f.newInstance(agent.node))
 	f.executors = append(f.executors, x)
+	f.startInstance(i)
 	f.serve(x.Description.Address, x)
 	go func() {
 		for f.ctx.Err() == nil {
@@ -178,9 +179,22 @@
 	}()
 }
 
-// newInstance returns a new instance of an executor.
-func (f *testFleet) newInstance(node string) *standin.Executor {
-	return standin.NewExecutorWithBehavior(node, executorClockRate, f.audit, runBehavior)
+// startInstance starts a new instance of an executor.
+func (f *testFleet) startInstance(i int) { f.executors[i].StartInstance(f.newInstance(i)) }
+
+// newInstance returns a new instance of an executor. If a run crashes it, another one
+// replaces it.
+func (f *testFleet) newInstance(i int) *standin.Executor {
+	instance := standin.NewExecutorWithBehavior(f.agents[i].node, executorClockRate, f.audit, runBehavior)
+	go func() {
+		select {
+		case <-instance.CrashedByTask():
+			fleet.Sleep(f.ctx, executorRestartPause+rand.N(executorRestartPause))
+			f.executors[i].ReplaceInstance(instance, f.newInstance(i))
+		case <-f.ctx.Done():
+		}
+	}()
+	return instance
 }
 
 // addProcess creates the proxies and the settings of a process without starting it.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -21,12 +21,23 @@
 	contactTime = 10 * time.Second
 )
 
+// Limits for tasks that crash executors. A task that has crashed maxCrashes is started
+// maxStartsAfterCrashes times more at most. One that crashes executors may be given
+// up, which fails its job, once minCrashesToGiveUp have crashed under it.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+	minCrashesToGiveUp    = 2
+)
+
 // sentJob is a submitted job and what its caller knows about it.
 type sentJob struct {
 	id          string
 	spec        string
 	steps       []fleet.Step
-	attempts    int // failed runs that its queue allows
+	fails       bool // all runs fail
+	crashes     bool // all runs crash their executors
+	attempts    int  // failed runs that its queue allows
 	accepted    time.Time
 	uncertain   bool      // a submission got no answer, or one that leaves its outcome open
 	refused     bool      // a submission was answered as not run
@@ -41,6 +52,9 @@
 	done         map[endID][]int // ends as done, each with the runs that started after it
 	acknowledged bool            // an end as done has been acknowledged
 	failedRuns   int             // acknowledged failed runs
+	crashes      int             // executors that its runs have crashed
+	lostRuns     int             // ended with the instance of their executor, by whatever cause
+	startsAfter  int             // starts after maxCrashes crashes
 	starts       int
 }
 
@@ -142,6 +156,11 @@
 	if t.failedRuns >= job.attempts && !step.Lasting {
 		c.addViolation("BUDGET %s run %d after %d failed runs", e.Task, e.Run, t.failedRuns)
 	}
+	if t.crashes >= maxCrashes {
+		if t.startsAfter++; t.startsAfter > maxStartsAfterCrashes {
+			c.addViolation("BUDGET %s run %d on %s, it has crashed %d executors", e.Task, e.Run, e.Executor, t.crashes)
+		}
+	}
 	for _, before := range step.After {
 		for i := range job.steps[before].Count {
 			if len(c.task(fleet.TaskID{Job: e.Task.Job, Step: before, Index: i}).done) == 0 {
@@ -175,6 +194,12 @@
 		return
 	}
 	t := c.task(e.Task)
+	if e.Crashing {
+		t.crashes++
+	}
+	if e.Reason == fleet.EndUnknown {
+		t.lostRuns++
+	}
 	delete(t.running, e.Executor)
 	need := reserved(step)
 	c.used[e.Executor] = c.used[e.Executor].Add(structs.Resources{MilliCPU: -need.MilliCPU, MemoryMB: -need.MemoryMB, Accelerators: -need.Accelerators})
@@ -236,6 +261,10 @@
 				}
 			}
 		}
+	case "failed":
+		if lost := c.lostRunsOf(job); !job.fails && (!job.crashes || lost < minCrashesToGiveUp) {
+			c.addViolation("LOST %s is shown as failed, crashes executors: %t, lost runs of a task: %d", job.id, job.crashes, lost)
+		}
 	case "cancelled":
 		if job.cancelled.IsZero() {
 			c.addViolation("LOST %s is shown as cancelled, nobody has", job.id)
@@ -249,6 +278,18 @@
 	}
 }
 
+// lostRunsOf returns the highest number of runs of a task of the job that ended with
+// the instance of their executor.
+func (c *checker) lostRunsOf(job *sentJob) int {
+	most := 0
+	for step := range job.steps {
+		for i := range job.steps[step].Count {
+			most = max(most, c.task(fleet.TaskID{Job: job.id, Step: step, Index: i}).lostRuns)
+		}
+	}
+	return most
+}
+
 // checkNotFound checks the answer that a job does not exist.
 func (c *checker) checkNotFound(job *sentJob) {
 	c.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,7 +54,10 @@
 // Probabilities, as one in n.
 const (
 	plannedOneIn = 4 // seeds with planned operations only
-	repeatOneIn  = 4 // faults that are injected twice in a row
+	// crashingOneIn is the share of seeds with jobs whose tasks crash executors: those
+	// with a remainder of crashingRemainder, none of the earlier hunts.
+	crashingOneIn, crashingRemainder = 5, 2
+	repeatOneIn                      = 4 // faults that are injected twice in a row
 	// watchesFailOneIn is the share of lost histories in which watches fail; in the
 	// others they miss the changes before.
 	watchesFailOneIn = 4
@@ -100,6 +103,7 @@
 	var callers []*caller
 	for i := range callerCount {
 		c := f.newCaller(b, seed*10+uint64(i))
+		c.crashes = seed%crashingOneIn == crashingRemainder
 		callers = append(callers, c)
 		lasting := 0
 		if i == 0 {
@@ -172,7 +176,7 @@
 		i := rng.IntN(len(f.executors))
 		f.executors[i].Crash()
 		fleet.Sleep(f.ctx, d)
-		f.executors[i].StartInstance(f.newInstance(f.agents[i].node))
+		f.startInstance(i)
 	}},
 	{"executor drains", func(f *testFleet, rng *rand.Rand, _ time.Duration) {
 		i := rng.IntN(len(f.executors))
@@ -180,7 +184,7 @@
 		fleet.Sleep(f.ctx, 2*time.Second)
 		_ = f.executors[i].Leave(f.ctx) // the agent may be down
 		fleet.Sleep(f.ctx, time.Second)
-		f.executors[i].StartInstance(f.newInstance(f.agents[i].node))
+		f.startInstance(i)
 	}},
 	{"store busy", storeFault(storeBusy)}, {"store resets", storeFault(storeReset)}, {"store silent", storeFault(storeSilent)},
 	{"store slow", storeFault(storeSlow)}, {"store loses answers", storeFault(storeLosesAnswers)}, {"store late", storeFault(storeDelaysWrites)},
--- a/internal/standin/fleet/executor.go
+++ b/internal/standin/fleet/executor.go
@@ -38,6 +38,7 @@
 	highestClosed  map[fleet.TaskID]int // highest run that was stopped or has ended
 	lastEnd        uint64
 	changed        chan struct{}
+	crashedByTask  chan struct{}
 	faults         ExecutorFaults
 }
 
@@ -47,7 +48,8 @@
 }
 
 // Behavior returns how long the run of an order takes and how it ends. A run
-// with a duration of 0 continues until it is stopped.
+// with a duration of 0 continues until it is stopped. One that ends as EndUnknown
+// crashes the executor.
 type Behavior func(fleet.StartOrder) (time.Duration, fleet.EndReason)
 
 var _ fleet.ExecutorClient = (*Executor)(nil)
@@ -63,7 +65,7 @@
 func NewExecutorWithBehavior(name string, rate float64, audit *Audit, behavior Behavior) *Executor {
 	return &Executor{
 		audit: audit, name: name, behavior: behavior, born: time.Now(), clockRate: rate, runs: map[fleet.TaskID]*taskRun{},
-		highestClosed: map[fleet.TaskID]int{}, changed: make(chan struct{}),
+		highestClosed: map[fleet.TaskID]int{}, changed: make(chan struct{}), crashedByTask: make(chan struct{}),
 	}
 }
 
@@ -75,11 +77,22 @@
 func (x *Executor) Crash() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.crash(nil)
+}
+
+// CrashedByTask returns a channel that is closed when a run crashes this instance.
+func (x *Executor) CrashedByTask() <-chan struct{} { return x.crashedByTask }
+
+// crash ends the instance. cause is the run that crashes it, or nil.
+func (x *Executor) crash(cause *taskRun) {
 	x.faults.Unreachable = true
 	for id, r := range x.runs {
 		r.endTimer.Stop()
 		delete(x.runs, id)
-		x.audit.ended(Event{Task: id, Run: r.number, Executor: x.name, InstanceStart: x.born, Reason: fleet.EndUnknown})
+		x.audit.ended(Event{Task: id, Run: r.number, Executor: x.name, InstanceStart: x.born, Reason: fleet.EndUnknown, Crashing: r == cause})
+	}
+	if cause != nil {
+		close(x.crashedByTask)
 	}
 }
 
@@ -243,7 +256,12 @@
 	r.endTimer = time.AfterFunc(max(runTime, time.Millisecond), func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if runTime > 0 && x.runs[o.Task] == r && x.clock() <= x.deadline {
+		if runTime <= 0 || x.runs[o.Task] != r || x.clock() > x.deadline {
+			return
+		}
+		if reason == fleet.EndUnknown {
+			x.crash(r)
+		} else {
 			x.endRun(o.Task, r, reason)
 		}
 	})
@@ -279,6 +297,7 @@
 	InstanceStart time.Time       // start of the executor's instance
 	Spec          string          // set for a start
 	Reason        fleet.EndReason // set for an end; EndUnknown: the executor has crashed
+	Crashing      bool            // set for an end: this run has crashed the executor
 	Number        uint64          // number of the end, 0 for a start
 }
 
