ledger: do not count crashes for runs that the new instance was told to stop

Its start came 160 ms after a first crash; the next instance was ordered to stop the run, and crashed for another task before it had answered, which counted as a second crash. Such runs make no suspects any more. The job fails at two crashes with no other suspect or at four, no longer at three of which one had no other.

--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -19,7 +19,7 @@
 	// start ordered later than this after its last lists has not reached it.
 	listInterval = 500 * time.Millisecond
 	// The job of a task fails after maxSoleCrashes crashes in a row with no other
-	// suspect, or as many and one more if one of them had no other, or maxCrashes.
+	// suspect, or maxCrashes in a row. The first may have come before the start.
 	maxSoleCrashes = 2
 	maxCrashes     = 4
 )
@@ -41,7 +41,7 @@
 
 // limit reports whether the task is to be given up.
 func (c crashes) limit() bool {
-	return c.All >= maxCrashes || c.Sole >= maxSoleCrashes || c.Sole > 0 && c.All > maxSoleCrashes
+	return c.All >= maxCrashes || c.Sole >= maxSoleCrashes
 }
 
 // StartingRuns returns the number of runs of which it is not known that the executor
@@ -71,7 +71,7 @@
 func (n *Node) suspects() []*Run {
 	var runs []*Run
 	for _, r := range n.Runs {
-		if !r.survived && (!r.confirmedAt.IsZero() || !r.Since.After(n.ListedAt.Add(listInterval))) {
+		if !r.survived && !r.withheld && (!r.confirmedAt.IsZero() || !r.Since.After(n.ListedAt.Add(listInterval))) {
 			runs = append(runs, r)
 		}
 	}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -50,6 +50,7 @@
 	inInstance    bool      // listed after that answer: no try of the order can start it again in a later instance
 	confirmedAt   time.Time // when its start was first answered or listed in the instance
 	survived      bool      // the executor has not crashed at its start
+	withheld      bool      // stopped on a new instance that it was not ordered from
 }
 
 // Task is one task of an occurrence of a job.
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -119,6 +119,7 @@
 		for _, r := range n.Runs {
 			if r.State == Starting && r.Task != nil && r.Task.Suspect() {
 				l.Stop(r, "may crash its executor")
+				r.withheld = true
 			}
 		}
 	}
