ledger: one count of crashes in a row, whenever after the start

Callers would see BUDGET for a task that crashes executors now before and now after 0.1 s of its start: two counts with limits of their own added up to more starts than either allows. And a job could fail after one crash of its task: of two crashes with no other suspect, one may have come before the start. Change: crashes within 10 s of the starts make one count, with the limit of four; crashes with no other suspect give a task up at the third.

--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -19,24 +19,23 @@
 	// listInterval is the longest time between two lists of an executor that answers. A
 	// start ordered later than this after its last lists has not reached it.
 	listInterval = 500 * time.Millisecond
-	// The job of a task fails after maxSoleCrashes crashes in a row with no other
-	// suspect, or maxCrashes in a row. The first may have come before the start.
-	maxSoleCrashes = 2
+	// The job of a task fails after maxCrashes crashes in a row within harmlessAfter of the
+	// starts of the task, or maxSoleCrashes at its start with no other suspect. One of them
+	// may have come before the start.
+	maxSoleCrashes = 3
 	maxCrashes     = 4
-	// It also fails after maxLateCrashes crashes in a row within harmlessAfter of the
-	// starts of the task.
-	maxLateCrashes = 5
 	harmlessAfter  = 10 * time.Second
 )
 
-// crashes counts crashes of executors that may be due to the start of a task, since the
-// last start that an executor has survived.
+// crashes counts crashes of executors that may be due to a task.
 type crashes struct {
+	// All and Sole count those at its start, since the last start that an executor has
+	// survived.
 	All  int `json:"a,omitempty"`
 	Sole int `json:"s,omitempty"` // with no other suspect
-	// Late counts the crashes of executors that had survived the start, in a row as long
-	// as no run of the task ends otherwise or lasts.
-	Late int `json:"l,omitempty"`
+	// Near counts those within harmlessAfter of its start, since a run of it has ended
+	// otherwise, lasted or saved progress.
+	Near int `json:"n,omitempty"`
 }
 
 // Suspect reports whether an executor has crashed at the start of the task, and none
@@ -49,7 +48,7 @@
 
 // limit reports whether the task is to be given up.
 func (c crashes) limit() bool {
-	return c.All >= maxCrashes || c.Sole >= maxSoleCrashes || c.Late >= maxLateCrashes
+	return c.Near >= maxCrashes || c.Sole >= maxSoleCrashes
 }
 
 // StartingRuns returns the number of runs of which it is not known that the executor
@@ -97,9 +96,9 @@
 	if r.Task == nil || !r.survived {
 		return
 	}
-	cleared := crashes{Late: r.Task.crashes.Late}
+	cleared := crashes{Near: r.Task.crashes.Near}
 	if listed >= harmlessAfter {
-		cleared.Late = 0
+		cleared.Near = 0
 	}
 	if r.Task.crashes != cleared {
 		l.log(Event{What: "suspect cleared", Task: r.ID, Run: r.Number, Node: r.Node.Name})
@@ -132,16 +131,17 @@
 	for _, r := range starting {
 		if t := r.Task; isOpen(t) {
 			t.crashes.All++
+			t.crashes.Near++
 			if len(starting) == 1 {
 				t.crashes.Sole++
 			}
-			l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.All, len(starting))})
+			l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near, len(starting))})
 			l.judge(r, now)
 		}
 	}
 	for _, r := range late {
 		if t := r.Task; isOpen(t) {
-			t.crashes.Late++
+			t.crashes.Near++
 			l.judge(r, now)
 		}
 	}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -251,7 +251,7 @@
 	run.Task.Step.Job.Started = true
 	if running.Checkpoint != "" {
 		if running.Checkpoint != run.Task.Checkpoint {
-			run.Task.crashes.Late = 0
+			run.Task.crashes.Near = 0
 		}
 		run.Task.Checkpoint = running.Checkpoint
 	}
