--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -46,8 +46,8 @@
 // so that it starts apart from other suspects.
 func (t *Task) StartsAlone() bool { return t.crashes.All > 1 }
 
-// limit reports whether the task is to be given up.
-func (c crashes) limit() bool {
+// atLimit reports whether the task is to be given up.
+func (c crashes) atLimit() bool {
 	return c.Near >= maxCrashes || c.Sole >= maxSoleCrashes
 }
 
@@ -136,13 +136,13 @@
 				t.crashes.Sole++
 			}
 			l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near, len(starting))})
-			l.judge(r, now)
+			l.giveUpAtLimit(r, now)
 		}
 	}
 	for _, r := range late {
 		if t := r.Task; isOpen(t) {
 			t.crashes.Near++
-			l.judge(r, now)
+			l.giveUpAtLimit(r, now)
 		}
 	}
 }
@@ -150,11 +150,11 @@
 // isOpen reports whether a task is known and may run again.
 func isOpen(t *Task) bool { return t != nil && !t.Done && t.Step.Job.Final == "" }
 
-// judge gives up the task of a run if its crashes have reached a limit.
-func (l *Ledger) judge(r *Run, now time.Time) {
+// giveUpAtLimit fails the job of a run if the crashes of its task have reached a limit.
+func (l *Ledger) giveUpAtLimit(r *Run, now time.Time) {
 	job := r.Task.Step.Job
 	l.progressChanged(job)
-	if r.Task.crashes.limit() {
+	if r.Task.crashes.atLimit() {
 		l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: fmt.Sprintf("crashes the executors that start it: %+v", r.Task.crashes)})
 		l.finish(job, Failed, now)
 	}
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -323,9 +323,9 @@
 // and against tasks that are not given up before three starts after the third crash.
 func TestLimitOfCrashes(t *testing.T) {
 	for _, c := range []crashes{{}, {All: 1, Sole: 1, Near: 1}, {All: 2, Sole: 2, Near: 2}, {All: 3, Sole: 2, Near: 3}, {Near: 3}} {
-		require.False(t, c.limit(), "%+v", c)
+		require.False(t, c.atLimit(), "%+v", c)
 	}
 	for _, c := range []crashes{{All: 3, Sole: 3, Near: 3}, {All: 4, Near: 4}, {Near: 4}} {
-		require.True(t, c.limit(), "%+v", c)
+		require.True(t, c.atLimit(), "%+v", c)
 	}
 }
