lead: one set of the names in the stored state; a name for the share of VMs on probation

Found in a last read of the change: removeUnregistered and removeForgotten built the same kind of set with the same loop, and maxProbation was a divisor by a name that says a maximum.

--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -41,6 +41,17 @@
 	revision uint64                // a watch after it misses no later change of the items
 }
 
+// namesUnder returns the IDs or names that follow a prefix of the watched keys.
+func (s storedState) namesUnder(base string) map[string]struct{} {
+	names := map[string]struct{}{}
+	for _, item := range s.items {
+		if name, ok := strings.CutPrefix(item.Key, base); ok {
+			names[name] = struct{}{}
+		}
+	}
+	return names
+}
+
 // readState reads the state of the fleet. Progress is read first, so that an ended job,
 // whose records are deleted together, is never read without its final state. No other
 // leader can store progress in the meantime.
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -42,9 +42,8 @@
 	// clearInterval is the minimum interval between moves of lasting tasks off the
 	// VMs kept for filling tasks.
 	clearInterval = 700 * time.Millisecond
-	// maxProbation is the divisor of the number of VMs that gives how many of them may
-	// have a suspected task on probation at a time.
-	maxProbation = 4
+	// One of probationOneIn VMs may have suspected tasks on probation at a time.
+	probationOneIn = 4
 	// suspectGroup is the largest number of suspected tasks that start together.
 	suspectGroup     = 4
 	startedUpPercent = 100 // percent that a lasting task reports once it has started up
@@ -156,7 +155,7 @@
 // others, which take no further tasks until the executor has survived the start. Tasks
 // under which one executor has crashed start in groups, others alone.
 func (p *planner) startSuspects(ready []ledger.ReadyStep, vms []*place.VM, nodes []*ledger.Node, failed place.Failed, now time.Time) {
-	left := max(1, len(vms)/maxProbation)
+	left := max(1, len(vms)/probationOneIn)
 	for _, vm := range vms {
 		if vm.Closed {
 			left--
--- a/internal/fleet/lead/watch.go
+++ b/internal/fleet/lead/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"maps"
-	"strings"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -56,12 +55,7 @@
 // removeUnregistered removes the VMs whose registrations are not part of the state that
 // was read again: they were deleted meanwhile.
 func (l *Leader) removeUnregistered(ctx context.Context, state storedState) {
-	registered := map[string]struct{}{}
-	for _, item := range state.items {
-		if name, ok := strings.CutPrefix(item.Key, fleet.NodeBase); ok {
-			registered[name] = struct{}{}
-		}
-	}
+	registered := state.namesUnder(fleet.NodeBase)
 	for name := range l.links {
 		if _, ok := registered[name]; !ok {
 			l.applyNode(ctx, name, fleet.Change{Removed: true}, false)
@@ -72,12 +66,7 @@
 // removeForgotten drops the forgotten jobs whose records are not part of the state that
 // was read again.
 func (l *Leader) removeForgotten(state storedState) {
-	stored := map[string]struct{}{}
-	for _, item := range state.items {
-		if id, ok := strings.CutPrefix(item.Key, fleet.JobBase); ok {
-			stored[id] = struct{}{}
-		}
-	}
+	stored := state.namesUnder(fleet.JobBase)
 	maps.DeleteFunc(l.forgotten, func(id string, _ uint64) bool {
 		_, ok := stored[id]
 		return !ok
