side: revoke a refused start that another session may have called

Cause: only the order of one session knew that a call had no answer. After a reset the next session reported the repeated start as refused without a call, as the executor drains, and the leader took this for proof of absence. A restarted agent did the same.

The agent keeps starts without a conclusive answer for the term. Refused, they are stopped first, after which the executor refuses a late call, and reported as revoked. A new process treats the starts of its first 10 s so.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -74,7 +74,10 @@
 	holdWaits    bool                  // that hold waits for a run to end
 	unackedDelay time.Duration         // before the next hold while ends are unacknowledged
 	orders       map[ledger.RunRef]*order
-	holdTimer    *time.Timer
+	// unanswered holds the starts of the term without a conclusive answer, also those of
+	// earlier sessions: the executor may carry them out late.
+	unanswered map[ledger.RunRef]struct{}
+	holdTimer  *time.Timer
 
 	// generation counts sessions and instances of the executor. Answers to holds
 	// of earlier generations are ignored.
@@ -100,13 +103,18 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	lastReceived time.Time
+	began        time.Time
+	first        bool // of this process: an earlier one may have called the starts that the leader repeats
 	reported     reportedLists
 	specs        *link.Specs
 }
 
 // New returns an Agent that does nothing until Run.
 func New(o Options) *Agent {
-	return &Agent{opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{}, orders: map[ledger.RunRef]*order{}}
+	return &Agent{
+		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
+		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{},
+	}
 }
 
 // Run serves until ctx ends.
@@ -446,6 +454,10 @@
 		a.cancelOrders()
 	}
 	a.opts.Log.Info("Following leader.", "leader", leader, "term", s.term)
+	s.began, s.first = time.Now(), a.term == 0
+	if s.term > a.term {
+		clear(a.unanswered) // the executor refuses calls of earlier terms
+	}
 	a.term, a.session = s.term, s
 	a.nextGeneration()
 	clear(a.sentReports)
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,7 +28,18 @@
 }
 
 // scriptedExecutor passes hold and start calls to the test, which answers them.
-type scriptedExecutor struct{ calls chan executorCall }
+type scriptedExecutor struct {
+	calls chan executorCall
+	mu    sync.Mutex
+	stops []ledger.RunRef
+}
+
+// stopped returns the runs that were ordered to stop.
+func (s *scriptedExecutor) stopped() []ledger.RunRef {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.stops)
+}
 
 func (s *scriptedExecutor) awaitAnswer(c executorCall) (fleet.RunLists, error) {
 	c.answer = make(chan fleet.RunLists)
@@ -47,7 +60,10 @@
 	return fleet.OrderDone, err
 }
 
-func (s *scriptedExecutor) Stop(context.Context, fleet.Executor, uint64, fleet.TaskID, int) (fleet.OrderResult, error) {
+func (s *scriptedExecutor) Stop(_ context.Context, _ fleet.Executor, _ uint64, task fleet.TaskID, run int) (fleet.OrderResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stops = append(s.stops, ledger.RunRef{Task: task, Run: run})
 	return fleet.OrderDone, nil
 }
 
@@ -67,19 +83,22 @@
 	a.executor = &fleet.Executor{Instance: "x@1", Born: firstBorn}
 	a.session = &session{outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, specs: link.NewSpecs()}
 	a.ackedEnd, a.lease.deadline = 5, time.Hour
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case f := <-a.events:
-				f()
-			}
-		}
-	}()
+	go handleEvents(ctx, a)
 	return a, x
 }
 
+// handleEvents handles the events of an agent until ctx ends.
+func handleEvents(ctx context.Context, a *Agent) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-a.events:
+			f()
+		}
+	}
+}
+
 // Guards against a lease and an acknowledgement meant for the earlier instance that
 // reach a new instance of the executor, whose numbers of ends start anew: it would
 // forget ends that nobody has read, and keep its tasks for longer than the leader
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
@@ -17,8 +18,21 @@
 	withdrawn atomic.Bool
 }
 
+// inheritWindow is the time after the beginning of the first session of an agent's
+// process within which the leader repeats the starts of sessions before: it does so in
+// its answers to the first lists.
+const inheritWindow = 10 * time.Second
+
+// mayBeCalled reports whether a start of a run that has no conclusive answer may have
+// been called before, in another session or by an earlier process of the agent. Such a
+// call may still be carried out, so no refusal proves that the run does not exist.
+func (a *Agent) mayBeCalled(s *session, ref ledger.RunRef) bool {
+	_, unanswered := a.unanswered[ref]
+	return unanswered || s.first && time.Since(s.began) < inheritWindow
+}
+
 // cancelOrders cancels all orders in progress. The leader repeats those that it
-// still wants.
+// still wants. A call in flight may be carried out, so the starts stay unanswered.
 func (a *Agent) cancelOrders() {
 	for ref, o := range a.orders {
 		o.cancel()
@@ -56,6 +70,7 @@
 	var results []ledger.Result
 	complete := func(task fleet.TaskID, run int) {
 		ref := ledger.RunRef{Task: task, Run: run}
+		delete(a.unanswered, ref)
 		if o := a.orders[ref]; o != nil && !o.stop {
 			o.cancel()
 			delete(a.orders, ref)
@@ -79,6 +94,7 @@
 		}
 		o.cancel()
 		delete(a.orders, ref)
+		delete(a.unanswered, ref)
 		if result != fleet.OrderDone {
 			a.opts.Log.Info("Order refused.", "task", ref.Task, "run", ref.Run, "stop", o.stop, "result", result)
 		}
@@ -87,7 +103,8 @@
 }
 
 // startRun orders the executor to start a run, and repeats the call until it is
-// answered. Before each repeat a hold has to show that the same instance answers.
+// answered. Before each repeat a hold has to show that the same instance answers. A
+// refusal is reported as such only if no call before it may have started the run.
 func (a *Agent) startRun(s *session, start fleet.StartOrder) {
 	ref := ledger.RunRef{Task: start.Task, Run: start.Run}
 	if earlier := a.orders[ref]; earlier != nil && !earlier.stop {
@@ -97,8 +114,9 @@
 	o.withdrawn.Store(a.executor.Draining)
 	e, term := *a.executor, a.term
 	start.Deadline = a.lease.deadline
+	uncertain := a.mayBeCalled(s, ref)
+	a.unanswered[ref] = struct{}{}
 	go func() {
-		uncertain := false
 		for o.ctx.Err() == nil {
 			if o.withdrawn.Load() {
 				result := fleet.OrderBusy
