side: take over an announced instance only once it has answered

The executor concerned was not used again until its agent restarted.

Cause: the agent took any announcement with another ID or a later start for a new instance, and the leader closed all runs of the one before.

An announced instance is now asked for its lists under its ID and taken over if it answers with its start. Starts are no longer compared. A restarted agent, which knows no term, registers and asks once a leader has opened a session.

--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -48,6 +48,7 @@
 type Announcements interface {
 	// Announce handles an executor's description of itself.
 	Announce(e Executor)
-	// Leave handles the end of the executor with an id.
-	Leave(id string)
+	// Leave handles the end of the executor with an ID. born is the start of the instance
+	// as in Executor, or 0 if it is not known.
+	Leave(id string, born int64)
 }
--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -422,7 +422,7 @@
 	r := newTestFleet(t, 1, 2, 20*time.Millisecond)
 	r.submit(r.entries[0], jobOf("first", 2))
 	r.await(r.entries[0], "first", "done")
-	r.agents[0].Leave("vm-0")
+	r.agents[0].Leave("vm-0", 0)
 	require.Eventually(t, func() bool {
 		_, err := r.store.Get(context.Background(), fleet.NodeBase+"vm-0")
 		return err != nil
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -50,7 +50,9 @@
 	Executors fleet.ExecutorClient
 	Store     fleet.Store
 	MaxLease  time.Duration // longest lease that the executor accepts
-	Log       *log.Logger
+	// Pools reads the pools of the configuration in force. nil: they are not known.
+	Pools func(context.Context) (map[string]fleet.Pool, error)
+	Log   *log.Logger
 }
 
 // Agent is the agent of one VM. The loop in Run owns all fields; other
@@ -59,12 +61,15 @@
 	opts   Options
 	events chan func()
 
-	executor      *fleet.Executor
-	lease         lease
-	lapsed        bool   // every lease of the executor has expired
-	executorLeft  bool   // the executor has ended
-	ackedEnd      uint64 // ends up to this number are stored by the leader
-	lastListedEnd uint64 // highest number of an end that the executor has listed
+	executor       *fleet.Executor
+	adoptedAt      time.Time             // when executor was confirmed
+	poolConfigured bool                  // the configuration has the executor's pool
+	candidates     map[string]*candidate // announced instances that are not confirmed yet, by Instance
+	lease          lease
+	lapsed         bool   // every lease of the executor has expired
+	executorLeft   bool   // the executor has ended
+	ackedEnd       uint64 // ends up to this number are stored by the leader
+	lastListedEnd  uint64 // highest number of an end that the executor has listed
 
 	term         uint64
 	session      *session
@@ -113,7 +118,7 @@
 func New(o Options) *Agent {
 	return &Agent{
 		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
-		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{},
+		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{}, candidates: map[string]*candidate{},
 	}
 }
 
@@ -158,60 +163,6 @@
 	}
 }
 
-// Announce implements fleet.Announcements.
-func (a *Agent) Announce(e fleet.Executor) {
-	a.post(context.Background(), func() { a.handleAnnouncement(e) })
-}
-
-// Leave implements fleet.Announcements.
-func (a *Agent) Leave(id string) {
-	a.post(context.Background(), func() {
-		if a.executor == nil || a.executor.ID != id {
-			return
-		}
-		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
-		a.executor.Draining, a.executorLeft, a.lapsed = true, true, true
-		a.cancelOrders()
-		a.report(ledger.Report{})
-	})
-}
-
-// handleAnnouncement updates the description of the executor. An announcement of
-// a new instance discards all state of the previous one.
-func (a *Agent) handleAnnouncement(e fleet.Executor) {
-	old := a.executor
-	if old != nil && old.Instance == e.Instance {
-		if e.Seq < old.Seq {
-			return
-		}
-		changed := old.Draining != e.Draining || old.Capacity != e.Capacity
-		a.executor = &e
-		if changed {
-			a.opts.Log.Info("Executor changed its state.", "instance", e.Instance, "draining", e.Draining, "remaining", e.DrainFor, "capacity", e.Capacity)
-			if e.Draining || !old.Capacity.Fits(e.Capacity) {
-				a.withdrawStarts()
-			}
-			a.report(ledger.Report{})
-		}
-		return
-	}
-	if old != nil && e.Born < old.Born {
-		a.opts.Log.Warn("Announcement of an earlier instance ignored.", "instance", e.Instance, "current", old.Instance)
-		return
-	}
-	a.opts.Log.Info("Executor announced itself.", "instance", e.Instance, "pool", e.Pool, "labels", e.Labels)
-	a.executor = &e
-	a.instanceUncertain.Store(false)
-	a.nextGeneration()
-	if a.session != nil {
-		a.session.reported = reportedLists{}
-	}
-	a.lease, a.lapsed, a.executorLeft, a.ackedEnd, a.lastListedEnd = lease{}, false, false, 0, 0
-	clear(a.sentReports)
-	a.cancelOrders()
-	a.hold(0)
-}
-
 // tick detects a silent leader and an expired lease, and repeats holds and
 // reports in case an event was lost.
 func (a *Agent) tick(context.Context) {
@@ -303,7 +254,8 @@
 		return
 	}
 	if lists.Born != 0 && e.Born != 0 && lists.Born != e.Born {
-		// A new instance answers under the same ID; its announcement follows.
+		// A new instance answers under the same ID; its announcement follows, and is
+		// confirmed by such an answer.
 		a.opts.Log.Warn("Executor has been replaced.", "instance", e.Instance, "born", lists.Born)
 		a.setInstanceUncertain()
 		a.scheduleHold(holdRetryDelay)
--- /dev/null
+++ b/internal/fleet/side/announcement.go
@@ -0,0 +1,209 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+)
+
+// An announcement alone proves nothing: it may be delayed, of an earlier instance, or
+// come from another writer, with any id, service or start. The agent replaces its
+// executor only by an instance that has answered a call under the announced id with the
+// announced start.
+const (
+	// confirmTimeout bounds the time in which an announced instance has to answer. It is
+	// announced again after about that time.
+	confirmTimeout = 1500 * time.Millisecond
+	confirmRetry   = 100 * time.Millisecond
+	// maxCandidates bounds the instances that are asked at the same time.
+	maxCandidates = 16
+	configTimeout = time.Second // for a read of the configuration
+)
+
+// candidate is an announced instance of the executor that is being confirmed.
+type candidate struct {
+	executor fleet.Executor
+	since    time.Time
+	fenced   bool // the executor has answered under the id, but has seen a later term
+}
+
+// Announce implements fleet.Announcements.
+func (a *Agent) Announce(e fleet.Executor) {
+	a.post(context.Background(), func() { a.handleAnnouncement(e) })
+}
+
+// Leave implements fleet.Announcements.
+func (a *Agent) Leave(id string, born int64) {
+	a.post(context.Background(), func() {
+		for instance, c := range a.candidates {
+			if c.executor.ID == id && (born == 0 || born == c.executor.Born) {
+				delete(a.candidates, instance)
+			}
+		}
+		if a.executor == nil || a.executor.ID != id {
+			return
+		}
+		if born != 0 && born != a.executor.Born {
+			a.opts.Log.Warn("End of another instance ignored.", "id", id, "born", born, "current", a.executor.Instance)
+			return
+		}
+		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
+		a.executor.Draining, a.executorLeft, a.lapsed = true, true, true
+		a.cancelOrders()
+		a.report(ledger.Report{})
+	})
+}
+
+// handleAnnouncement updates the description of the executor, or has a new instance
+// confirmed.
+func (a *Agent) handleAnnouncement(e fleet.Executor) {
+	if a.executor != nil && a.executor.Instance == e.Instance {
+		a.updateExecutor(e)
+		return
+	}
+	if c := a.candidates[e.Instance]; c != nil {
+		if e.Seq >= c.executor.Seq {
+			c.executor = e
+		}
+		return
+	}
+	if len(a.candidates) >= maxCandidates {
+		a.opts.Log.Warn("Announcement ignored, too many instances are announced.", "instance", e.Instance)
+		return
+	}
+	c := &candidate{executor: e, since: time.Now()}
+	a.candidates[e.Instance] = c
+	a.confirm(c)
+}
+
+// updateExecutor applies a further announcement of the current instance.
+func (a *Agent) updateExecutor(e fleet.Executor) {
+	old := a.executor
+	if e.Pool != old.Pool {
+		a.resolvePool(e)
+		return
+	}
+	if e.Seq < old.Seq {
+		return
+	}
+	changed := old.Draining != e.Draining || old.Capacity != e.Capacity
+	a.executor = &e
+	if changed {
+		a.opts.Log.Info("Executor changed its state.", "instance", e.Instance, "draining", e.Draining, "remaining", e.DrainFor, "capacity", e.Capacity)
+		if e.Draining || !old.Capacity.Fits(e.Capacity) {
+			a.withdrawStarts()
+		}
+		a.report(ledger.Report{})
+	}
+}
+
+// resolvePool decides between two announcements of one instance that name different
+// pools, although an instance stays in its pool: one is of another writer. The later one
+// is taken only if the configuration has its pool alone.
+func (a *Agent) resolvePool(e fleet.Executor) {
+	current := a.executor.Pool
+	a.opts.Log.Warn("Announcements of an instance differ.", "instance", e.Instance, "pool", e.Pool, "current", current)
+	if a.opts.Pools == nil || a.poolConfigured {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), configTimeout)
+		defer cancel()
+		pools, err := a.opts.Pools(ctx)
+		if err != nil {
+			a.opts.Log.Warn("Configuration not read, the pool stays as announced first.", "instance", e.Instance, "err", err)
+			return
+		}
+		_, known := pools[current]
+		_, later := pools[e.Pool]
+		a.post(context.Background(), func() {
+			if a.executor == nil || a.executor.Instance != e.Instance || a.executor.Pool != current {
+				return
+			}
+			a.poolConfigured = known || later
+			if later && !known {
+				a.executor = &e
+				a.report(ledger.Report{})
+			}
+		})
+	}()
+}
+
+// confirm asks the executor for its lists, which state the start of the instance that
+// answers. The call extends no lease and acknowledges nothing.
+func (a *Agent) confirm(c *candidate) {
+	e, term, sent := c.executor, a.term, time.Now()
+	go func() {
+		lists, err := a.opts.Executors.Hold(context.Background(), e, term, 0, 0, 0)
+		a.post(context.Background(), func() { a.handleConfirmation(c, sent, lists, err) })
+	}()
+}
+
+// handleConfirmation handles the answer to confirm.
+func (a *Agent) handleConfirmation(c *candidate, sent time.Time, lists fleet.RunLists, err error) {
+	instance := c.executor.Instance
+	if a.candidates[instance] != c {
+		return
+	}
+	switch {
+	case err == nil && lists.Born != 0 && lists.Born != c.executor.Born:
+		a.opts.Log.Warn("Announced instance not taken over, another one answers.", "instance", instance, "born", lists.Born)
+		delete(a.candidates, instance)
+		return
+	case errors.Is(err, fleet.ErrOtherExecutor):
+		a.opts.Log.Warn("Announced instance not taken over, an executor with another ID answers.", "instance", instance)
+		delete(a.candidates, instance)
+		return
+	case err == nil && sent.After(a.adoptedAt):
+		delete(a.candidates, instance)
+		a.adopt(c.executor)
+		return
+	case errors.Is(err, fleet.ErrFenced):
+		c.fenced = true // until a session tells the agent the term
+	}
+	if time.Since(c.since) > confirmTimeout {
+		a.opts.Log.Warn("Announced instance not taken over, it does not answer.", "instance", instance, "err", err)
+		delete(a.candidates, instance)
+		return
+	}
+	time.AfterFunc(confirmRetry, func() {
+		a.post(context.Background(), func() {
+			if a.candidates[instance] == c {
+				a.confirm(c)
+			}
+		})
+	})
+}
+
+// adopt makes a confirmed instance the current one and discards all state of the
+// previous one.
+func (a *Agent) adopt(e fleet.Executor) {
+	a.opts.Log.Info("Executor announced itself.", "instance", e.Instance, "pool", e.Pool, "labels", e.Labels)
+	if a.executor != nil && a.executor.ID != e.ID {
+		clear(a.unanswered) // it refuses calls that were meant for another ID
+	}
+	a.executor, a.adoptedAt, a.poolConfigured = &e, time.Now(), false
+	a.instanceUncertain.Store(false)
+	a.nextGeneration()
+	if a.session != nil {
+		a.session.reported = reportedLists{}
+	}
+	a.lease, a.lapsed, a.executorLeft, a.ackedEnd, a.lastListedEnd = lease{}, false, false, 0, 0
+	clear(a.sentReports)
+	a.cancelOrders()
+	a.hold(0)
+}
+
+// hasFencedCandidate reports whether an executor has answered that cannot be confirmed
+// before a leader opens a session.
+func (a *Agent) hasFencedCandidate() bool {
+	for _, c := range a.candidates {
+		if c.fenced {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/side/announcement_test.go
@@ -0,0 +1,197 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+)
+
+// instanceOnly is an executor without runs that answers as one instance.
+type instanceOnly struct {
+	scriptedExecutor
+	mu    sync.Mutex
+	id    string
+	born  int64
+	fence uint64
+	down  bool
+}
+
+func (x *instanceOnly) Hold(_ context.Context, e fleet.Executor, fence uint64, _ time.Duration, _ uint64, wait time.Duration) (fleet.RunLists, error) {
+	time.Sleep(min(wait, 10*time.Millisecond))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.down:
+		return fleet.RunLists{}, errors.New("no answer")
+	case e.ID != x.id:
+		return fleet.RunLists{}, fleet.ErrOtherExecutor
+	case fence < x.fence:
+		return fleet.RunLists{}, fleet.ErrFenced
+	}
+	return fleet.RunLists{Born: x.born, Clock: time.Second}, nil
+}
+
+func (x *instanceOnly) set(change func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	change()
+}
+
+func announcementOf(instance, id string, born int64) fleet.Executor {
+	return fleet.Executor{Instance: instance, ID: id, Born: born, Pool: "pool", Seq: 1}
+}
+
+// newAnnouncedAgent returns an agent that knows no executor, beside an executor.
+func newAnnouncedAgent(t *testing.T, x *instanceOnly) *Agent {
+	a := New(Options{Executors: x, MaxLease: 10 * time.Second, Log: log.New(io.Discard)})
+	go handleEvents(t.Context(), a)
+	return a
+}
+
+// instanceOf returns the instance that the agent takes for its executor.
+func instanceOf(a *Agent) string {
+	answer := make(chan string)
+	a.post(context.Background(), func() {
+		if a.executor == nil {
+			answer <- ""
+			return
+		}
+		answer <- a.executor.Instance
+	})
+	return <-answer
+}
+
+func requireInstance(t *testing.T, a *Agent, want string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return instanceOf(a) == want }, 10*time.Second, time.Millisecond)
+}
+
+// settle waits until no announced instance is being confirmed.
+func settle(t *testing.T, a *Agent) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		open := make(chan int)
+		a.post(context.Background(), func() { open <- len(a.candidates) })
+		return <-open == 0
+	}, 10*time.Second, time.Millisecond)
+}
+
+// Guards against an executor at work that is replaced because of an announcement of
+// another writer: its tasks would be started elsewhere while they go on, and its own
+// announcements be refused from then on (review/3).
+func TestAnnouncementOfAnotherWriterReplacesNoExecutor(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	requireInstance(t, a, "i-1@1000")
+	for _, other := range []fleet.Executor{
+		announcementOf("i-2@2000", "i-2", 2000),
+		announcementOf("i-2@max", "i-2", math.MaxInt64),
+		announcementOf("i-1@max", "i-1", math.MaxInt64),
+		announcementOf("i-1@0", "i-1", 0),
+		announcementOf("i-1@-1", "i-1", -1),
+	} {
+		a.Announce(other)
+		settle(t, a)
+		require.Equal(t, "i-1@1000", instanceOf(a), other.Instance)
+	}
+	x.set(func() { x.id, x.born = "i-3", 500 })
+	a.Announce(announcementOf("i-3@500", "i-3", 500))
+	requireInstance(t, a, "i-3@500") // also if its start is said to be earlier
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	settle(t, a)
+	require.Equal(t, "i-3@500", instanceOf(a), "a late announcement of an earlier instance")
+}
+
+// Guards against an executor that is never taken over because an announcement of another
+// writer came before its own first one.
+func TestAnnouncementOfAnotherWriterBeforeTheFirst(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@max", "i-1", math.MaxInt64))
+	a.Announce(announcementOf("i-2@2000", "i-2", 2000))
+	settle(t, a)
+	require.Empty(t, instanceOf(a))
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	requireInstance(t, a, "i-1@1000")
+}
+
+// Guards against an executor that is not taken over because it does not answer at once.
+func TestAnnouncedInstanceIsAskedAgain(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000, down: true}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	require.Empty(t, instanceOf(a))
+	x.set(func() { x.down = false })
+	requireInstance(t, a, "i-1@1000")
+}
+
+// Guards against a restarted agent that never registers: the executor has seen a later
+// term than the agent, which learns it only in a session.
+func TestRestartedAgentRegistersBeforeItKnowsTheTerm(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000, fence: 7}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	require.Eventually(t, func() bool {
+		wanted, _ := a.registrationWanted(t.Context())
+		return wanted
+	}, 10*time.Second, time.Millisecond)
+	require.Empty(t, instanceOf(a))
+	s := newTestSession(t, 7)
+	a.post(context.Background(), func() { a.follow(s, "entry") })
+	requireInstance(t, a, "i-1@1000")
+}
+
+// Guards against a description of another writer that names the instance itself, but an
+// unknown pool: the executor would not be used, and its own announcements be ignored.
+func TestAnnouncementWithAnUnknownPool(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000}
+	a := newAnnouncedAgent(t, x)
+	a.opts.Pools = func(context.Context) (map[string]fleet.Pool, error) {
+		return map[string]fleet.Pool{"pool": {}}, nil
+	}
+	pool := func() string {
+		answer := make(chan string)
+		a.post(context.Background(), func() { answer <- a.executor.Pool })
+		return <-answer
+	}
+	wrong := announcementOf("i-1@1000", "i-1", 1000)
+	wrong.Pool, wrong.Seq = "other", math.MaxUint64
+	a.Announce(wrong)
+	requireInstance(t, a, "i-1@1000")
+	right := announcementOf("i-1@1000", "i-1", 1000)
+	a.Announce(right)
+	require.Eventually(t, func() bool { return pool() == "pool" }, 10*time.Second, time.Millisecond)
+	a.Announce(wrong)
+	right.Seq, right.Draining = 2, true
+	a.Announce(right)
+	require.Equal(t, "pool", pool())
+	draining := make(chan bool)
+	a.post(context.Background(), func() { draining <- a.executor.Draining })
+	require.True(t, <-draining)
+}
+
+// Guards against the end of an earlier instance that arrives late and is taken for the
+// end of the present one, whose tasks would be started elsewhere while they go on.
+func TestLateEndOfAnEarlierInstance(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	requireInstance(t, a, "i-1@1000")
+	a.Leave("i-1", 900)
+	left := make(chan bool)
+	a.post(context.Background(), func() { left <- a.executorLeft })
+	require.False(t, <-left)
+	a.Leave("i-1", 0)
+	a.post(context.Background(), func() { left <- a.executorLeft })
+	require.True(t, <-left)
+}
--- a/internal/fleet/side/register.go
+++ b/internal/fleet/side/register.go
@@ -57,12 +57,14 @@
 	checkedAt time.Time
 }
 
-// registrationWanted reports whether there is an executor that has not left, and
-// whether a leader has a session.
+// registrationWanted reports whether there is an executor that has not left, or one that
+// can be confirmed only in a session, and whether a leader has a session.
 func (a *Agent) registrationWanted(ctx context.Context) (wanted, following bool) {
 	type state struct{ wanted, following bool }
 	answer := make(chan state, 1)
-	a.post(ctx, func() { answer <- state{a.executor != nil && !a.executorLeft, a.session != nil} })
+	a.post(ctx, func() {
+		answer <- state{a.executor != nil && !a.executorLeft || a.hasFencedCandidate(), a.session != nil}
+	})
 	select {
 	case s := <-answer:
 		return s.wanted, s.following
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -264,13 +265,20 @@
 	Deadline   time.Duration // end of the lease on the executor's monotonic clock
 }
 
+// Errors of ExecutorClient.Hold.
+var (
+	ErrFenced        = errors.New("executor has seen a later term")
+	ErrOtherExecutor = errors.New("an executor with another ID answers")
+)
+
 // ExecutorClient is the interface of the calls to executors. The fence is the leader's
 // term: an executor refuses calls with a lower term than the highest that it has
 // seen. All runs of an executor share one lease.
 type ExecutorClient interface {
 	// Hold extends the lease to deadline (0: not at all), acknowledges the ends up
 	// to number seen, which the executor then drops, and returns the lists: at once
-	// while ends are not acknowledged, else when a run ends or wait has passed.
+	// while ends are not acknowledged, else when a run ends or wait has passed. Refusals
+	// match ErrFenced or ErrOtherExecutor.
 	Hold(ctx context.Context, e Executor, fence uint64, deadline time.Duration, seen uint64, wait time.Duration) (RunLists, error)
 	// Start starts a run.
 	Start(ctx context.Context, e Executor, fence uint64, order StartOrder) (OrderResult, error)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -35,7 +36,7 @@
 
 // regressionSeeds run every time, as each of them once found a violation.
 // docs/seeds.md describes the causes.
-var regressionSeeds = []uint64{3, 10, 15, 28, 30, 55, 305}
+var regressionSeeds = []uint64{3, 10, 14, 15, 28, 30, 55, 305}
 
 // Times of one seed.
 const (
@@ -47,8 +48,10 @@
 	// plannedInterval keeps planned operations apart: a stop may take 5 s.
 	plannedInterval   = 5500 * time.Millisecond
 	meanFaultInterval = 1500 * time.Millisecond // mean
-	minFaultTime      = 500 * time.Millisecond  // duration of a fault
-	maxFaultTime      = 5500 * time.Millisecond
+	// meanForgedInterval is the time between announcements of other writers.
+	meanForgedInterval = 400 * time.Millisecond
+	minFaultTime       = 500 * time.Millisecond // duration of a fault
+	maxFaultTime       = 5500 * time.Millisecond
 )
 
 // Probabilities, as one in n.
@@ -57,7 +60,10 @@
 	// crashingOneIn is the share of seeds with jobs whose tasks crash executors: those
 	// with a remainder of crashingRemainder, none of the earlier hunts.
 	crashingOneIn, crashingRemainder = 5, 2
-	repeatOneIn                      = 4 // faults that are injected twice in a row
+	// forgedOneIn is the share of seeds with announcements of other writers: those with a
+	// remainder of forgedRemainder.
+	forgedOneIn, forgedRemainder = 5, 4
+	repeatOneIn                  = 4 // faults that are injected twice in a row
 	// watchesFailOneIn is the share of lost histories in which watches fail; in the
 	// others they miss the changes before.
 	watchesFailOneIn = 4
@@ -114,6 +120,9 @@
 	for _, p := range f.entries {
 		go f.watchVersions(p)
 	}
+	if seed%forgedOneIn == forgedRemainder {
+		go f.forgeAnnouncements(sending, rand.New(rand.NewPCG(seed, 3)))
+	}
 	planned := seed%plannedOneIn == 0
 	f.injectFaults(planned)
 	f.clearFaults()
@@ -208,6 +217,28 @@
 	{"sessions", proxyFault(func(p *process) *proxy { return p.sessions })},
 }
 
+// forgeAnnouncements has other writers announce to all agents until ctx ends: under the
+// id of the executor or another one, with a service that is not configured, a start that
+// is not the executor's, or without a start.
+func (f *testFleet) forgeAnnouncements(ctx context.Context, rng *rand.Rand) {
+	starts := []any{int64(-1), int64(math.MaxInt64), nil, int64(0)}
+	for ctx.Err() == nil {
+		x := pick(rng, f.executors)
+		id, fields := x.Description.ID, map[string]any{"seq": uint64(math.MaxUint64)}
+		if rng.IntN(2) == 0 {
+			id += "0"
+		}
+		if rng.IntN(2) == 0 {
+			fields["service"] = "other"
+		}
+		if rng.IntN(4) > 0 || len(fields) == 1 {
+			fields["born"] = pick(rng, append(starts, time.Now().UnixMilli()))
+		}
+		_ = x.AnnounceForged(ctx, id, fields) // refused, or of no effect
+		fleet.Sleep(ctx, time.Duration(rng.Int64N(int64(2*meanForgedInterval))))
+	}
+}
+
 func pick[T any](rng *rand.Rand, from []T) T { return from[rng.IntN(len(from))] }
 
 // storeFault sets a mode of the store for the duration of the fault.
--- a/internal/standin/fleet/executor.go
+++ b/internal/standin/fleet/executor.go
@@ -209,7 +209,10 @@
 func (x *Executor) list(fence uint64, deadline time.Duration, seen uint64) (fleet.RunLists, bool, error) {
 	defer x.mu.Unlock()
 	if result, err := x.lockForCall(fence); err != nil || result != fleet.OrderDone {
-		return fleet.RunLists{}, true, errors.Join(err, errNoAnswer)
+		if result == fleet.OrderFenced {
+			err = fleet.ErrFenced
+		}
+		return fleet.RunLists{}, true, err
 	}
 	x.extendLease(deadline)
 	x.ends = slices.DeleteFunc(x.ends, func(e fleet.End) bool {
