ledger: keep counts of crashes over changes of the leader

A task was started again, or its order repeated to the new instance, before the store held its count; a leader that ended then left the next one the lower count. And a crash counted only if one leader saw both instances of the executor, which is away for seconds.

Starts of a suspect now wait until its count is stored.

Both ledger tests failed with the two rules taken out. Three earlier tests store the progress before they expect a suspect to be started, as this is what it waits for now.

--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
 )
 
 // A task may crash each executor that starts it, mostly within milliseconds. A crash is
@@ -36,6 +38,9 @@
 	// Near counts those within harmlessAfter of its start, since a run of it has ended
 	// otherwise, lasted or saved progress.
 	Near int `json:"n,omitempty"`
+	// Run is the highest number of a run that was counted. Agents report a crash to each
+	// leader that may not know of it.
+	Run int `json:"r,omitempty"`
 }
 
 // Suspect reports whether an executor has crashed at the start of the task, and none
@@ -96,7 +101,7 @@
 	if r.Task == nil || !r.survived {
 		return
 	}
-	cleared := crashes{Near: r.Task.crashes.Near}
+	cleared := crashes{Near: r.Task.crashes.Near, Run: r.Task.crashes.Run}
 	if listed >= harmlessAfter {
 		cleared.Near = 0
 	}
@@ -128,34 +133,124 @@
 	if n.Executor.Draining || n.listings == 0 {
 		return
 	}
+	n.countedCrash = true
 	for _, r := range starting {
-		if t := r.Task; isOpen(t) {
-			t.crashes.All++
-			t.crashes.Near++
-			if len(starting) == 1 {
-				t.crashes.Sole++
-			}
-			l.log(Event{What: "suspected of a crash", Task: r.ID, Run: r.Number, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near, len(starting))})
-			l.giveUpAtLimit(r, now)
-		}
+		l.countCrashAtStart(r.Task, r.Number, n, len(starting), now)
 	}
 	for _, r := range late {
-		if t := r.Task; isOpen(t) {
-			t.crashes.Near++
-			l.giveUpAtLimit(r, now)
+		l.countCrashLater(r.Task, r.Number, n, now)
+	}
+}
+
+// countReportedCrashes counts a crash that the agent reports as it has seen the executor
+// under an earlier leader. It has no effect if this leader has seen a crash there itself.
+func (l *Ledger) countReportedCrashes(n *Node, results []Result, now time.Time) {
+	if n.countedCrash {
+		return
+	}
+	starting := 0
+	for _, r := range results {
+		if r.Result == fleet.OrderCrashed {
+			starting++
 		}
 	}
+	for _, r := range results {
+		t := l.taskByID(r.Task)
+		if t == nil || r.Run <= t.crashes.Run {
+			continue
+		}
+		switch r.Result {
+		case fleet.OrderCrashed:
+			l.countCrashAtStart(t, r.Run, n, starting, now)
+		case fleet.OrderCrashedLater:
+			l.countCrashLater(t, r.Run, n, now)
+		default:
+			continue
+		}
+		t.LastRun = max(t.LastRun, r.Run)
+	}
 }
 
-// isOpen reports whether a task is known and may run again.
-func isOpen(t *Task) bool { return t != nil && !t.Done && t.Step.Job.Final == "" }
+// countCrashAtStart counts a crash at the start of a run of a task, one of a number of
+// suspects.
+func (l *Ledger) countCrashAtStart(t *Task, run int, n *Node, suspects int, now time.Time) {
+	if !isOpen(t) {
+		return
+	}
+	t.crashes.All++
+	if suspects == 1 {
+		t.crashes.Sole++
+	}
+	l.countCrashLater(t, run, n, now)
+	l.log(Event{What: "suspected of a crash", Task: t.ID, Run: run, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near, suspects)})
+}
 
-// giveUpAtLimit fails the job of a run if the crashes of its task have reached a limit.
-func (l *Ledger) giveUpAtLimit(r *Run, now time.Time) {
-	job := r.Task.Step.Job
+// countCrashLater counts a crash within harmlessAfter of the start of a run.
+func (l *Ledger) countCrashLater(t *Task, run int, n *Node, now time.Time) {
+	if !isOpen(t) {
+		return
+	}
+	t.crashes.Near++
+	t.crashes.Run = max(t.crashes.Run, run)
+	job := t.Step.Job
 	l.progressChanged(job)
-	if r.Task.crashes.atLimit() {
-		l.log(Event{What: "given up", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: fmt.Sprintf("crashes the executors that start it: %+v", r.Task.crashes)})
+	t.countedAt = job.version
+	if t.crashes.atLimit() {
+		l.log(Event{What: "given up", Task: t.ID, Run: run, Node: n.Name, Reason: fmt.Sprintf("crashes the executors that start it: %+v", t.crashes)})
 		l.finish(job, Failed, now)
 	}
 }
+
+// PhaseOfCrash returns in which phase the executor of a run has crashed. ordered is when
+// its start was ordered, confirmed when it was first answered or listed, listed when it
+// was last listed, and lists when the executor last returned its lists; zero times stand
+// for never. The result is OrderUnknown if the run is not suspected.
+func PhaseOfCrash(ordered, confirmed, listed, lists time.Time) fleet.OrderResult {
+	lasted := listed.Sub(confirmed)
+	switch {
+	case confirmed.IsZero() && ordered.After(lists.Add(listInterval)):
+		return fleet.OrderUnknown
+	case confirmed.IsZero() || lasted < survivedAfter:
+		return fleet.OrderCrashed
+	case lasted < harmlessAfter:
+		return fleet.OrderCrashedLater
+	default:
+		return fleet.OrderUnknown
+	}
+}
+
+// countIsStored reports whether the store holds the crashes that were counted for the
+// task. Until then it is not started again: the next leader would begin at a lower count.
+func (t *Task) countIsStored() bool { return t.Step.Job.storedVersion >= t.countedAt }
+
+// deferStart keeps the start of a run from being ordered until the crashes of its task
+// are stored.
+func (l *Ledger) deferStart(r *Run) {
+	r.withheld = true
+	job := r.Task.Step.Job
+	if !slices.Contains(job.deferred, r) {
+		job.deferred = append(job.deferred, r)
+	}
+}
+
+// orderDeferred orders the deferred starts of a job whose crashes are stored.
+func (l *Ledger) orderDeferred(job *Job) {
+	waiting := job.deferred
+	job.deferred = nil
+	for _, r := range waiting {
+		switch {
+		case r.Node.Runs[r.ID] != r || r.State != Starting:
+		case !r.Node.Listed: // its order is repeated with the next lists
+			r.withheld = false
+		case !r.Task.countIsStored():
+			job.deferred = append(job.deferred, r)
+		default:
+			r.withheld = false
+			l.repeatOrder(r)
+			l.pending[r.Node] = struct{}{}
+		}
+	}
+}
+
+// isOpen reports whether a task is known and may run again.
+func isOpen(t *Task) bool { return t != nil && !t.Done && t.Step.Job.Final == "" }
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -23,9 +23,10 @@
 	w.listInstance(name, instance, nil)
 }
 
-// takeOrders takes the orders for an instance, and has it answer the stops of runs that
+// takeOrders stores the progress, takes the orders for an instance, and has it answer the stops of runs that
 // it does not have until they are closed. It returns the starts.
 func (w *fixture) takeOrders(name string, instance int) []fleet.StartOrder {
+	w.store()
 	orders, _ := w.node(name).TakeOrders()
 	if len(orders.Stops) == 0 {
 		return orders.Starts
@@ -48,8 +49,9 @@
 	return orders.Starts
 }
 
-// run has the first ready task run on a node for the given time.
+// run stores the progress and has the first ready task run on a node for the given time.
 func (w *fixture) run(node string, instance int, d time.Duration) {
+	w.store()
 	t := w.ledger.Ready(w.now)[0]
 	w.ledger.Start(t, w.node(node), "", w.now)
 	w.node(node).TakeOrders()
@@ -133,6 +135,7 @@
 		if len(w.ready()) > 0 {
 			w.start("a")
 		}
+		w.store()
 		w.node("a").TakeOrders()
 		w.crash("a", instance)
 	}
@@ -213,6 +216,7 @@
 	w.listInstance("a", 1, nil)
 	for instance := 1; job.Final == ""; instance++ {
 		require.Less(t, instance, 5)
+		w.store()
 		w.start("a")
 		w.node("a").TakeOrders()
 		w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Lapsed: true}, w.now)
@@ -278,7 +282,7 @@
 	for instance := 2; instance < 8; instance++ {
 		w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: fmt.Sprint("a@", instance)}}, w.now)
 	}
-	require.Equal(t, crashes{All: 1, Sole: 1, Near: 1}, job.Occurrences[0].Steps[0].Tasks[0].crashes)
+	require.Equal(t, crashes{All: 1, Sole: 1, Near: 1, Run: 1}, job.Occurrences[0].Steps[0].Tasks[0].crashes)
 	require.Empty(t, job.Final)
 }
 
@@ -329,3 +333,66 @@
 		require.True(t, c.atLimit(), "%+v", c)
 	}
 }
+
+// Guards against a task that is started again before the count of its crashes is stored:
+// a leader that ends then leaves the next one a lower count, and the task crashes more
+// executors than the limit (review/5).
+func TestSuspectStartsOnlyOnceItsCrashesAreStored(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.add("deadly", false, one())
+	w.listInstance("a", 1, nil)
+	w.listInstance("b", 1, nil)
+	w.start("a")
+	require.Len(t, w.takeOrders("a", 1), 1)
+	w.crash("a", 2)
+	orders, _ := w.node("a").TakeOrders()
+	require.Empty(t, orders.Starts, "the order is not repeated to the new instance")
+	require.Len(t, w.takeOrders("a", 2), 1, "it is, once the count is stored")
+	w.node("a").Runs[taskOf("deadly")].State = Running
+	w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Lapsed: true}, w.now)
+	w.crash("a", 3)
+	w.now = w.now.Add(time.Second)
+	require.Empty(t, w.ready())
+	w.store()
+	require.Len(t, w.ready(), 1)
+	require.Equal(t, 2, w.ledger.Jobs["deadly"].Occurrences[0].Steps[0].Tasks[0].crashes.All)
+}
+
+// Guards against crashes that no leader counts: the leader of the start has ended when
+// the new instance of the executor is announced, and the next one has not seen the
+// instance that crashed. The agent has, and reports it to each leader.
+func TestCrashUnderAnEarlierLeaderIsReportedByTheAgent(t *testing.T) {
+	report := Report{
+		Executor: &fleet.Executor{Instance: "a@2", Pool: "pool"},
+		Results: []Result{
+			{Task: taskOf("deadly"), Run: 3, Result: fleet.OrderCrashed}, {Task: taskOf("late"), Run: 2, Result: fleet.OrderCrashedLater},
+		},
+	}
+	w := newFixture(t, "a")
+	deadly, late := w.add("deadly", true, one()), w.add("late", true, one())
+	task := deadly.Occurrences[0].Steps[0].Tasks[0]
+	for range 2 { // in two sessions
+		w.ledger.Report(w.node("a"), report, w.now)
+		require.Equal(t, crashes{All: 1, Sole: 1, Near: 1, Run: 3}, task.crashes)
+		require.Equal(t, crashes{Near: 1, Run: 2}, late.Occurrences[0].Steps[0].Tasks[0].crashes)
+	}
+	records, err := w.ledger.Dirty(10)
+	require.NoError(t, err)
+	require.Len(t, records, 2)
+
+	next := newFixture(t, "a")
+	task = next.add("deadly", true, one()).Occurrences[0].Steps[0].Tasks[0]
+	require.NoError(t, next.ledger.Restore("deadly", records[0].Value, 9, next.now))
+	next.ledger.Report(next.node("a"), report, next.now)
+	require.Equal(t, 1, task.crashes.All, "the count of the earlier leader is stored")
+	next.listInstance("a", 2, nil)
+	next.start("a")
+	require.Equal(t, 4, task.LastRun)
+	next.node("a").TakeOrders()
+	next.crash("a", 3)
+	require.Equal(t, crashes{All: 2, Sole: 2, Near: 2, Run: 4}, task.crashes)
+	report.Results = []Result{{Task: task.ID, Run: 5, Result: fleet.OrderCrashed}}
+	report.Executor = &fleet.Executor{Instance: "a@3", Pool: "pool"}
+	next.ledger.Report(next.node("a"), report, next.now)
+	require.Equal(t, 2, task.crashes.All, "this leader has seen the crash itself")
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -50,7 +50,7 @@
 	inInstance    bool      // listed after that answer: no try of the order can start it again in a later instance
 	confirmedAt   time.Time // when its start was first answered or listed in the instance
 	survived      bool      // the executor has not crashed at its start
-	withheld      bool      // stopped on a new instance that it was not ordered from
+	withheld      bool      // not ordered from the present instance
 }
 
 // Task is one task of an occurrence of a job.
@@ -63,6 +63,7 @@
 	failures   []failure // failed runs, which count as attempts
 	closedRuns []int     // numbers of runs that were closed without a listed end
 	crashes    crashes
+	countedAt  uint64 // version of the job with the crashes as last counted
 	Checkpoint string
 	Current    *Run      // nil: it has no run
 	NotBefore  time.Time // earliest next start, after a refusal
@@ -130,6 +131,7 @@
 	revision               uint64
 	finalVersion           uint64 // version with the final state
 	doneOccurrences        int
+	deferred               []*Run             // runs whose start waits until crashes of their tasks are stored
 	unstored               bool               // queued in Ledger.unstored
 	storing                bool               // a record of it is out, until Stored or NotStored
 	endedOn                map[*Node]struct{} // nodes with ends that wait for the progress to be stored
@@ -162,6 +164,7 @@
 	// were closed when the lease expired. They count once a new instance shows that the
 	// executor has crashed.
 	lapsedSuspects, lapsedLate []*Run
+	countedCrash               bool // a crash of the executor was seen in this term
 }
 
 // unstoredEnd is an end that is acknowledged once version of the job is stored.
@@ -442,7 +445,7 @@
 		}
 		var tasks []*Task
 		for _, t := range s.Tasks {
-			if t.Current == nil && !t.Done && !t.NotBefore.After(now) {
+			if t.Current == nil && !t.Done && !t.NotBefore.After(now) && t.countIsStored() {
 				tasks = append(tasks, t)
 			}
 		}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -314,6 +314,7 @@
 	w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Results: []Result{{Task: taskOf("job"), Run: 1, Result: fleet.OrderDone}}}, w.now)
 	w.list("a", runningOf(taskOf("job"), 1))
 	w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: "a@2"}, Listed: true}, w.now)
+	w.store()
 	require.Len(t, w.ready(), 1)
 	require.Empty(t, w.node("a").Runs)
 }
@@ -332,6 +333,7 @@
 	require.Empty(t, w.ready(), "the order may have started the run")
 	w.ledger.Report(w.node("a"), Report{Executor: e, Listed: true}, w.now)
 	require.Empty(t, w.ready())
+	w.store()
 	orders, _ := w.node("a").TakeOrders()
 	require.Len(t, orders.Starts, 1)
 	require.Equal(t, 1, orders.Starts[0].Run)
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -116,6 +116,7 @@
 			job.endedOn = nil
 		}
 		l.queueUnstored(job)
+		l.orderDeferred(job)
 		l.dropTasks(job)
 	}
 }
@@ -213,7 +214,7 @@
 			return fmt.Errorf("stored progress of job %s names task %d.%d.%d, which the job does not have", id, tp.Occurrence, tp.Step, tp.Index)
 		}
 		job.Started = true
-		t.EndedRun, t.LastRun, t.failures, t.crashes, t.Checkpoint = tp.Ended, tp.Ended, tp.Failed, tp.Crashes, tp.Checkpoint
+		t.EndedRun, t.LastRun, t.failures, t.crashes, t.Checkpoint = tp.Ended, max(tp.Ended, tp.Crashes.Run), tp.Failed, tp.Crashes, tp.Checkpoint
 		for _, f := range tp.Failed {
 			t.LastRun = max(t.LastRun, f.Run)
 		}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -87,6 +87,7 @@
 		l.expireLease(n, "lease expired", now)
 		n.lapsed = true
 	}
+	l.countReportedCrashes(n, r.Results, now)
 	for _, result := range r.Results {
 		l.applyResult(n, result, now)
 	}
@@ -211,6 +212,8 @@
 // A run that was running is closed if it stays unlisted.
 func (l *Ledger) repeatOrder(r *Run) {
 	switch {
+	case r.State == Starting && r.Task != nil && !r.Task.countIsStored():
+		l.deferStart(r)
 	case r.State == Starting && r.Task != nil:
 		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
@@ -325,7 +328,7 @@
 		t.Checkpoint = e.Checkpoint
 	}
 	if e.Reason == fleet.EndDone || e.Reason == fleet.EndFailed {
-		t.crashes = crashes{}
+		t.crashes = crashes{Run: t.crashes.Run}
 	}
 	switch {
 	case e.Reason == fleet.EndDone && !t.Step.Spec.Lasting:
@@ -428,7 +431,7 @@
 // applyResult applies the answer to an order.
 func (l *Ledger) applyResult(n *Node, r Result, now time.Time) {
 	run := n.Runs[r.Task]
-	if run == nil || run.Number != r.Run {
+	if run == nil || run.Number != r.Run || r.Result == fleet.OrderCrashed || r.Result == fleet.OrderCrashedLater {
 		return
 	}
 	run.startAnswered = run.startAnswered || !r.Stop && r.Result != fleet.OrderUnknown
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -83,6 +83,8 @@
 	// earlier sessions: the executor may carry them out late.
 	unanswered map[ledger.RunRef]struct{}
 	holdTimer  *time.Timer
+	given      givenRuns
+	crash      crash
 
 	// generation counts sessions and instances of the executor. Answers to holds
 	// of earlier generations are ignored.
@@ -111,7 +113,9 @@
 	began        time.Time
 	first        bool // of this process: an earlier one may have called the starts that the leader repeats
 	reported     reportedLists
-	specs        *link.Specs
+	// crashReported is set once the leader has been told of the latest crash.
+	crashReported bool
+	specs         *link.Specs
 }
 
 // New returns an Agent that does nothing until Run.
@@ -119,6 +123,7 @@
 	return &Agent{
 		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
 		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{}, candidates: map[string]*candidate{},
+		given: givenRuns{},
 	}
 }
 
@@ -266,6 +271,7 @@
 	}
 	a.lease.addReading(clockReading{lists.Clock, time.Now()}, a.opts.MaxLease)
 	a.lapsed = false
+	a.given.update(lists, time.Now())
 	for _, end := range lists.Ended {
 		a.lastListedEnd = max(a.lastListedEnd, end.Number)
 	}
@@ -318,6 +324,7 @@
 		return
 	}
 	r.Executor, r.Lapsed = a.executor, a.lapsed
+	a.addCrash(&r)
 	a.reportNumber++
 	if a.lease.hasReading {
 		a.sentReports[a.reportNumber] = sentReport{a.lease.latest, time.Now()}
--- a/internal/fleet/side/announcement.go
+++ b/internal/fleet/side/announcement.go
@@ -185,11 +185,15 @@
 	if a.executor != nil && a.executor.ID != e.ID {
 		clear(a.unanswered) // it refuses calls that were meant for another ID
 	}
+	if a.executor != nil && !a.executor.Draining { // one that was draining has left instead
+		a.crash = crash{time.Now(), a.given.suspects(a.lease.latest.at)}
+	}
+	a.given = givenRuns{}
 	a.executor, a.adoptedAt, a.poolConfigured = &e, time.Now(), false
 	a.instanceUncertain.Store(false)
 	a.nextGeneration()
 	if a.session != nil {
-		a.session.reported = reportedLists{}
+		a.session.reported, a.session.crashReported = reportedLists{}, false
 	}
 	a.lease, a.lapsed, a.executorLeft, a.ackedEnd, a.lastListedEnd = lease{}, false, false, 0, 0
 	clear(a.sentReports)
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -95,6 +95,11 @@
 		o.cancel()
 		delete(a.orders, ref)
 		delete(a.unanswered, ref)
+		if !o.stop && result == fleet.OrderDone {
+			a.given.confirm(ref, time.Now())
+		} else if !o.stop {
+			delete(a.given, ref)
+		}
 		if result != fleet.OrderDone {
 			a.opts.Log.Info("Order refused.", "task", ref.Task, "run", ref.Run, "stop", o.stop, "result", result)
 		}
@@ -116,6 +121,9 @@
 	start.Deadline = a.lease.deadline
 	uncertain := a.mayBeCalled(s, ref)
 	a.unanswered[ref] = struct{}{}
+	if a.given[ref] == nil {
+		a.given[ref] = &givenRun{ordered: time.Now()}
+	}
 	go func() {
 		for o.ctx.Err() == nil {
 			if o.withdrawn.Load() {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -224,6 +224,10 @@
 	OrderRejected                      // refused: the executor cannot parse the order
 	OrderRevoked                       // refused; the run was also ordered to stop, as an earlier try may have started it
 	OrderGone                          // refused: an executor with another ID answered
+	// The instance that was given a start has ended without listing an end of the run,
+	// early in the run or later. Agents report these to leaders that did not see it.
+	OrderCrashed
+	OrderCrashedLater
 )
 
 // Executor describes an instance of an executor, the process on a VM that runs
