lead: hear of a cancellation within 3 s though the watch has gone silent

The watch waited 5 s and was given up 0.7 s later.

It now waits 1.5 s, one call to the store more every 2 s in quiet times.

Evidence: TestCancellationIsHeardOfThoughTheWatchHasGoneSilent, heard of after 6 s before and 2.5 s now, in virtual time.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -24,12 +24,15 @@
 	// executorLease is the longest lease given to an executor. It is short because
 	// the tasks of a lost VM start elsewhere only after it expires, and a
 	// lasting task may be down for 6 s at most.
-	executorLease       = 4 * time.Second
-	leaseMargin         = 150 * time.Millisecond // for timers that fire late
-	verifyInterval      = 600 * time.Millisecond // between renewals of the leader's key; a third of storeLease is left after two lost ones
-	tickInterval        = 100 * time.Millisecond
-	commitRetry         = 100 * time.Millisecond
-	watchWait           = 5 * time.Second
+	executorLease  = 4 * time.Second
+	leaseMargin    = 150 * time.Millisecond // for timers that fire late
+	verifyInterval = 600 * time.Millisecond // between renewals of the leader's key; a third of storeLease is left after two lost ones
+	tickInterval   = 100 * time.Millisecond
+	commitRetry    = 100 * time.Millisecond
+	// watchWait bounds the time for which the leader does not notice that the connection
+	// of its watch has gone silent. A cancellation has to be heard of within 3 s also if
+	// the entry that stored it ends before it has notified the leader.
+	watchWait           = 1500 * time.Millisecond
 	watchRetry          = 300 * time.Millisecond
 	pageRetry           = 100 * time.Millisecond
 	maintenanceInterval = 3 * time.Second
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -202,3 +203,47 @@
 	l.removeForgotten(storedState{})
 	require.Empty(t, l.forgotten)
 }
+
+// severedStore is a store of which the connection of the first watch has gone silent: it
+// fails only once its time is over.
+type severedStore struct {
+	fleet.Store
+	severed bool
+}
+
+// silenceOfWatch is how long beyond its wait the client of the store gives a watch.
+const silenceOfWatch = 700 * time.Millisecond
+
+func (s *severedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	if s.severed {
+		return s.Store.Watch(ctx, prefix, after, wait)
+	}
+	s.severed = true
+	fleet.Sleep(ctx, wait+silenceOfWatch)
+	return nil, after, kv.ErrUncertain
+}
+
+// Guards against tasks of a cancelled job that are started seconds after the cancellation
+// was acknowledged: the connection of the leader's watch has gone silent, and the entry
+// that stored the cancellation has ended before it notified the leader. The platform
+// allows 3 s.
+func TestCancellationIsHeardOfThoughTheWatchHasGoneSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{}
+		l := newLoadingLeader(t, s, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		revision, err := l.load(ctx)
+		require.NoError(t, err)
+		for _, w := range []fleet.Write{jobRecord("job"), {Key: fleet.CancelBase + "job"}} {
+			_, err := s.Commit(ctx, fleet.Txn{Put: []fleet.Write{w}})
+			require.NoError(t, err)
+		}
+		s.Store = &severedStore{Store: s.Store}
+		began := time.Now()
+		go l.watch(ctx, revision)
+		l.handle(<-l.events)
+		require.Equal(t, ledger.Cancelled, l.ledger.Jobs["job"].VisibleState())
+		require.Less(t, time.Since(began), 3*time.Second)
+	})
+}
