lead: share one session among requests that come at once

After the sessions between entries had gone silent, requests that came at once each opened a session, which closed the one before: submissions were answered as uncertain, and notices of cancellations failed and were repeated.

One request now opens the session for all that wait.

Evidence: TestRequestsAtOnceShareASession failed before with "session closed", 30 requests on a new session; it passes now.

--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -28,6 +30,7 @@
 	mu       sync.Mutex
 	known    []string                 // addresses; the one that last reached the store for this entry comes first
 	sessions map[string]*wire.Session // by address
+	dials    singleflight.Group       // by address
 }
 
 // set replaces the addresses of the other entries and keeps their order.
@@ -58,36 +61,55 @@
 	}
 }
 
-// session returns the session with an entry, and opens one if none is alive.
-func (p *peers) session(ctx context.Context, address string) (*wire.Session, error) {
-	p.mu.Lock()
-	session := p.sessions[address]
-	p.mu.Unlock()
-	if session != nil {
-		select {
-		case <-session.Done():
-		default:
+// session returns the session with an entry, and opens one if none is alive. Requests
+// that come at once share one attempt, as each new session closes the earlier one.
+func (p *peers) session(address string) (*wire.Session, error) {
+	if session := p.alive(address); session != nil {
+		return session, nil
+	}
+	opened, err, _ := p.dials.Do(address, func() (any, error) {
+		if session := p.alive(address); session != nil {
 			return session, nil
 		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-	defer cancel()
-	session, err := wire.Dial(ctx, address, wire.Config{})
+		ctx, cancel := context.WithTimeout(context.Background(), peerDialTimeout)
+		defer cancel()
+		session, err := wire.Dial(ctx, address, wire.Config{})
+		if err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if earlier := p.sessions[address]; earlier != nil {
+			_ = earlier.Close()
+		}
+		p.sessions[address] = session
+		return session, nil
+	})
 	if err != nil {
 		return nil, err
 	}
+	return opened.(*wire.Session), nil
+}
+
+// alive returns the session with an entry unless there is none or it has ended.
+func (p *peers) alive(address string) *wire.Session {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if earlier := p.sessions[address]; earlier != nil {
-		_ = earlier.Close()
+	session := p.sessions[address]
+	if session == nil {
+		return nil
+	}
+	select {
+	case <-session.Done():
+		return nil
+	default:
+		return session
 	}
-	p.sessions[address] = session
-	return session, nil
 }
 
 // ask sends a request to an entry and returns its reply.
 func (p *peers) ask(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) {
-	session, err := p.session(ctx, address)
+	session, err := p.session(address)
 	if err != nil {
 		return nil, err
 	}
