--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -304,8 +304,8 @@
 }
 
 // crashStarting has the executor of a VM answer the starts of its runs, list them, and
-// crash.
-func (l *planFixture) crashStarting(vm string) {
+// crash. The store then holds the crashes.
+func (l *planFixture) crashStarting(t *testing.T, vm string) {
 	n := l.ledger.Nodes[vm]
 	n.TakeOrders()
 	e := n.Executor
@@ -317,6 +317,9 @@
 	l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true, Running: running}, l.now)
 	e.Instance += "+"
 	l.ledger.Report(n, ledger.Report{Executor: &e, Listed: true}, l.now)
+	records, err := l.ledger.Dirty(len(l.ledger.Jobs))
+	require.NoError(t, err)
+	l.ledger.Stored(records, 1)
 }
 
 // suspectsPerVM returns how many suspects start on each VM that is closed for them, and
@@ -347,7 +350,7 @@
 	for _, task := range l.ledger.Ready(l.now) {
 		l.ledger.Start(task, l.ledger.Nodes["vm-000"], "", l.now)
 	}
-	l.crashStarting("vm-000")
+	l.crashStarting(t, "vm-000")
 	l.submit("others", fleet.Step{Count: 24, Need: small})
 	l.plan.plan(l.now)
 	groups := l.suspectsPerVM(t)
@@ -370,7 +373,7 @@
 		crashed = vm
 	}
 	l.now = l.now.Add(10 * time.Millisecond)
-	l.crashStarting(crashed)
+	l.crashStarting(t, crashed)
 	for name := range groups {
 		if name != crashed {
 			l.listOne(name, l.ledger.Nodes[name])
