ledger: take no run for absent by a partial list of ends

Cause: lists were taken for complete, so runs beyond the 500 ends were closed as not listed. A new leader settled by such lists, too.

Lists with that many ends are now partial: they prove no run absent, and a VM settles with its first complete list.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -42,8 +42,8 @@
 	Pace         int       // ordered share of full speed in percent; unknownPace: an earlier leader may have ordered one
 	ProgressedAt time.Time // when Percent last changed
 	PaceSince    time.Time // since when it has worked at Pace
-	// absentFrom is the number of the node's listing from which on a listing
-	// without the run proves that the run does not exist. 0: none proves it.
+	// absentFrom is the number of the node's complete listing from which on such a
+	// listing without the run proves that the run does not exist. 0: none proves it.
 	absentFrom    int
 	lastListing   int       // number of the last listing with the run
 	startAnswered bool      // the order to start it has an answer, so the agent no longer repeats it
@@ -141,9 +141,9 @@
 type Node struct {
 	Name       string
 	Executor   fleet.Executor
-	Listed     bool      // complete lists have come in the present session of the agent
+	Listed     bool      // lists have come in the present session of the agent
 	ReportedAt time.Time // last report
-	ListedAt   time.Time // last report with complete lists
+	ListedAt   time.Time // last report with lists
 	LeaseUntil time.Time // when the last lease of the executor has expired
 	Runs       map[fleet.TaskID]*Run
 	removed    bool // to be deleted once nothing can run there
@@ -152,14 +152,16 @@
 	lapsed bool
 	// Trouble counts failed runs as 1 and refused ones as 0.5, and decays with
 	// troubleHalfLife. This is its value at troubleAt; TroubleAt returns later ones.
-	Trouble      float64
-	troubleAt    time.Time // when Trouble was last updated
-	changes      uint64
-	listings     int    // number of complete lists received of the instance
-	orders       Orders // not taken yet
-	highestEnd   uint64 // highest number of a listed end of the instance
-	ackedEnds    uint64 // Orders.Stored as last taken
-	unstoredEnds []unstoredEnd
+	Trouble          float64
+	troubleAt        time.Time // when Trouble was last updated
+	changes          uint64
+	listings         int    // number of lists received of the instance
+	complete         bool   // complete lists have come in the present session of the agent
+	completeListings int    // number of complete lists received of the instance
+	orders           Orders // not taken yet
+	highestEnd       uint64 // highest number of a listed end of the instance
+	ackedEnds        uint64 // Orders.Stored as last taken
+	unstoredEnds     []unstoredEnd
 	// lapsedSuspects and lapsedLate are the suspects and late suspects among the runs that
 	// were closed when the lease expired. They count once a new instance shows that the
 	// executor has crashed.
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -31,7 +31,8 @@
 // Report is a report from the agent of a node.
 type Report struct {
 	Executor *fleet.Executor // nil: it has not announced itself
-	Listed   bool            // Running and Ended are the complete lists of the executor
+	Listed   bool            // Running and Ended are the lists of the executor
+	Partial  bool            // further ends wait on the executor, so that a run that is not listed may have ended
 	Running  []fleet.Running
 	Ended    []fleet.End
 	Results  []Result
@@ -67,7 +68,7 @@
 // Disconnected marks a node whose agent is out of reach: its lists are no longer
 // current. Orders without a result are repeated with the next complete lists.
 func (l *Ledger) Disconnected(n *Node) {
-	n.Listed, n.lapsed = false, false
+	n.Listed, n.complete, n.lapsed = false, false, false
 	n.orders = Orders{}
 }
 
@@ -125,6 +126,7 @@
 		}
 	}
 	n.highestEnd, n.ackedEnds, n.unstoredEnds, n.orders, n.listings = 0, 0, nil, Orders{}, 0
+	n.completeListings, n.complete = 0, false
 	n.Listed, n.lapsed = false, false
 }
 
@@ -171,7 +173,7 @@
 		if n.removed && len(n.Runs) == 0 {
 			delete(l.Nodes, n.Name)
 		}
-		settled = settled && (n.Listed || expired || n.lapsed)
+		settled = settled && (n.complete || expired || n.lapsed)
 	}
 	if settled && !l.Settled {
 		l.Settled = true
@@ -179,12 +181,16 @@
 	}
 }
 
-// applyLists applies the complete lists of an executor.
+// applyLists applies the lists of an executor. Partial ones prove no run absent.
 func (l *Ledger) applyLists(n *Node, r Report, now time.Time) {
 	first := !n.Listed
 	n.Listed, n.ListedAt = true, now
 	n.lapsedSuspects, n.lapsedLate = nil, nil
 	n.listings++
+	if !r.Partial {
+		n.completeListings++
+		n.complete = true
+	}
 	slices.SortFunc(r.Ended, func(a, b fleet.End) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range r.Ended {
 		if e.Number > n.highestEnd {
@@ -198,7 +204,7 @@
 		if first && run.Pace != fullPace { // the order for it may be lost with the last session
 			run.Pace = unknownPace
 		}
-		if run.absentFrom > 0 && n.listings >= run.absentFrom && run.lastListing != n.listings {
+		if !r.Partial && run.absentFrom > 0 && n.completeListings >= run.absentFrom && run.lastListing != n.listings {
 			l.closeRun(run, "not listed", now.Add(retryDelay))
 			continue
 		}
@@ -222,7 +228,7 @@
 			r.Node.orders.Stops = append(r.Node.orders.Stops, ref)
 		}
 	case r.State == Running && r.absentFrom == 0:
-		r.absentFrom = r.Node.listings + absenceListings
+		r.absentFrom = r.Node.completeListings + absenceListings
 	}
 }
 
@@ -242,7 +248,7 @@
 		run.State = Running
 	}
 	if run.State == Running {
-		run.absentFrom = n.listings + absenceListings
+		run.absentFrom = n.completeListings + absenceListings
 	}
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressedAt = running.Percent, now
@@ -438,17 +444,17 @@
 	switch {
 	case r.Result == fleet.OrderUnknown, r.Result == fleet.OrderFenced, r.Result == fleet.OrderGone:
 	case r.Stop:
-		run.absentFrom = n.listings + absenceListings
+		run.absentFrom = n.completeListings + absenceListings
 	case r.Result == fleet.OrderDone:
 		l.confirmStart(run, now)
 		if run.State == Starting {
 			run.State, run.Since, run.PaceSince = Running, now, now
 			run.Task.Step.Job.Started = true
-			run.absentFrom = n.listings + absenceListings
+			run.absentFrom = n.completeListings + absenceListings
 		}
 	case r.Result == fleet.OrderOld, r.Result == fleet.OrderRevoked:
 		// The run may be running, be stopping or have ended; the lists show which.
-		run.absentFrom = n.listings + absenceListings
+		run.absentFrom = n.completeListings + absenceListings
 	default:
 		n.addTrouble(0.5, now)
 		l.closeRun(run, "refused", now.Add(retryDelay))
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -98,7 +98,7 @@
 
 // Report returns the frame of an agent's report with the given number.
 func Report(number uint64, r ledger.Report) *pb.Frame {
-	m := &pb.NodeReport{Number: number, Listed: r.Listed, Lapsed: r.Lapsed, KeepsSpecs: true}
+	m := &pb.NodeReport{Number: number, Listed: r.Listed, Partial: r.Partial, Lapsed: r.Lapsed, KeepsSpecs: true}
 	if e := r.Executor; e != nil {
 		m.Executor = &pb.Executor{
 			Instance: e.Instance, Pool: e.Pool, FailureDomain: e.FailureDomain, Labels: e.Labels,
@@ -120,7 +120,7 @@
 
 // ReadReport converts a report from protobuf. It fails on a malformed task name.
 func ReadReport(m *pb.NodeReport) (ledger.Report, error) {
-	r := ledger.Report{Listed: m.GetListed(), Lapsed: m.GetLapsed()}
+	r := ledger.Report{Listed: m.GetListed(), Partial: m.GetPartial(), Lapsed: m.GetLapsed()}
 	if e := m.GetExecutor(); e != nil {
 		c := e.GetCapacity()
 		r.Executor = &fleet.Executor{
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -295,7 +295,7 @@
 	}
 	if news || len(results) > 0 {
 		a.session.reported.at = now
-		a.report(ledger.Report{Listed: true, Running: lists.Running, Ended: ended, Results: results})
+		a.report(ledger.Report{Listed: true, Partial: lists.Partial, Running: lists.Running, Ended: ended, Results: results})
 	}
 }
 
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -250,13 +250,16 @@
 // executor, by which it measures its leases. The platform allows a deviation of 2%.
 const ClockRate = 0.98
 
-// RunLists holds the complete lists of an executor's runs, as of one moment. A run
-// in either of them is called listed.
+// RunLists holds the lists of an executor's runs, as of one moment. A run in either of
+// them is called listed.
 type RunLists struct {
 	Clock   time.Duration // reading of the executor's monotonic clock
 	Born    int64         // as in Executor
 	Running []Running
 	Ended   []End // ends that are not acknowledged yet
+	// Partial is true if there may be further ends: a run that is not listed may have
+	// ended. All of Running are listed at any time.
+	Partial bool
 }
 
 // StartOrder is an order to start a run.
--- a/internal/standin/fleet/executor.go
+++ b/internal/standin/fleet/executor.go
@@ -204,6 +204,9 @@
 	return lists, err
 }
 
+// maxListedEnds is the largest number of ends that an executor lists at a time.
+const maxListedEnds = 500
+
 // list extends the lease, drops the ends up to number seen and returns the
 // current runs and ends. It also reports whether there are ends to deliver.
 func (x *Executor) list(fence uint64, deadline time.Duration, seen uint64) (fleet.RunLists, bool, error) {
@@ -221,7 +224,8 @@
 		}
 		return e.Number <= seen
 	})
-	lists := fleet.RunLists{Clock: x.clock(), Ended: slices.Clone(x.ends)}
+	listed := min(len(x.ends), maxListedEnds)
+	lists := fleet.RunLists{Clock: x.clock(), Ended: slices.Clone(x.ends[:listed]), Partial: listed == maxListedEnds}
 	for id, r := range x.runs {
 		lists.Running = append(lists.Running, fleet.Running{Task: id, Run: r.number, Percent: 100})
 	}
