scheduler: let a task wait again whose placement was rejected

The planner now tells such a rejection from a stale decision, and the task waits again from the next tick of a second on.

Evidence: TestRejectedPlacementWaitsAgain failed before (nothing placed).

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -132,12 +132,12 @@
 
 // Submit implements scheduler.Planner. It applies a decision to the state of
 // the task's shard; a start is sent to the agent once it is durable. It returns
-// errNotOwner if the shard or the agent is not available and errStaleDecision
-// if the task has changed.
+// errNotOwner, as scheduler.ErrNotNow, if the shard or the agent is not available
+// and errStaleDecision if the task has changed.
 func (j *jobControl) Submit(d scheduler.Decision) error {
 	s := j.shardOf(d.Task.ID.Job)
 	if s == nil || s.state == nil {
-		return errNotOwner
+		return errNotNow
 	}
 	ev := jobs.Event{Task: d.Task.ID, Token: structs.Token{Generation: s.generation, Attempt: d.Task.Attempt}}
 	switch d.Kind {
@@ -147,7 +147,7 @@
 		// waiting for lease.Config.Hold, the longest time for which a permit is
 		// renewed by attestation alone.
 		if a == nil || a.session == nil || j.handover.Draining(s.id) || j.c.verifier.Epoch() == 0 {
-			return errNotOwner
+			return errNotNow
 		}
 		ev.Kind, ev.Worker, ev.Incarnation, ev.Epoch = jobs.Place, d.Node.ID, a.node.Incarnation, j.c.verifier.Epoch()
 		j.c.entry.metrics.placements.Add(1)
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"vanillalock.example/vanillalock/coord/lease"
@@ -10,6 +11,7 @@
 	"vanillalock.example/vanillalock/internal/jobs"
 	"vanillalock.example/vanillalock/internal/jobs/shardlog"
 	"vanillalock.example/vanillalock/internal/rescode"
+	"vanillalock.example/vanillalock/internal/scheduler"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
@@ -23,6 +25,7 @@
 
 var (
 	errNotOwner      = rescode.Errorf(rescode.NotOwner, "the shard is not owned or not open here")
+	errNotNow        = fmt.Errorf("%w: %w", scheduler.ErrNotNow, errNotOwner)
 	errStaleDecision = errors.New("the task has changed since the decision")
 )
 
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -15,7 +15,7 @@
 // for a hold. It exceeds the peak of 48 starts/s.
 const maxUrgentPerTick = 64
 
-// Tick ends backoffs and holds capacity for tasks that have waited long. A hold is
+// Tick ends backoffs, lets rejected tasks wait again and holds capacity for tasks that have waited long. A hold is
 // capacity on one VM that no other batch task gets; without it, smaller tasks would
 // take up fragmented capacity as it becomes free. Tick returns EvictionNeeded requests
 // for urgent tasks, and for batch tasks with a hold on a VM that is not expected to
@@ -23,6 +23,7 @@
 // the caller evicts for it once. Call Tick about once a second.
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.endBackoffs(now)
+	s.requeueRejected()
 	s.queue.prune()
 	var out []Decision
 	for c := range s.queue.classes {
--- a/internal/scheduler/next.go
+++ b/internal/scheduler/next.go
@@ -1,7 +1,11 @@
 package scheduler
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/structs"
@@ -92,13 +96,30 @@
 		if !ok {
 			break
 		}
-		if err := p.Submit(d); err != nil && d.Kind == Placed {
+		err := p.Submit(d)
+		if err != nil && d.Kind == Placed {
 			s.Release(d.Task.ID)
 		}
+		if errors.Is(err, ErrNotNow) {
+			s.rejected[d.Task.ID] = d.Task
+		}
 	}
 	return done
 }
 
+// requeueRejected lets the tasks of rejected decisions wait again, at their old times.
+func (s *Scheduler) requeueRejected() {
+	tasks := slices.SortedFunc(maps.Values(s.rejected), func(a, b *Task) int {
+		return cmp.Or(a.Enqueued.Compare(b.Enqueued), cmp.Compare(a.ID.Job, b.ID.Job), cmp.Compare(a.ID.Index, b.ID.Index))
+	})
+	clear(s.rejected)
+	for _, t := range tasks {
+		if s.queue.byID[t.ID] == nil && s.placed[t.ID] == nil {
+			s.queue.add(t)
+		}
+	}
+}
+
 // freeCapacity returns the free capacity of all VMs.
 func (s *Scheduler) freeCapacity() structs.Resources {
 	var sum structs.Resources
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -105,6 +105,7 @@
 	if s.queue.byID[t.ID] != nil || s.placed[t.ID] != nil {
 		return false
 	}
+	delete(s.rejected, t.ID)
 	t.Enqueued, t.node, t.TemplateIndex = now, nil, indexOf(s.templateIndexes, t.Template)
 	s.queue.add(&t)
 	return true
@@ -114,6 +115,7 @@
 func (s *Scheduler) Withdraw(id structs.TaskID) {
 	s.dropHold(id)
 	delete(s.queue.byID, id)
+	delete(s.rejected, id)
 }
 
 // candidate returns the next task to try in a class, with its queue: the oldest
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	cacheEpoch      uint32 // cached results of an older epoch are invalid
 	capacityVersion uint64 // increases when a VM may take more than before
 	queue           queue
+	rejected        map[structs.TaskID]*Task // of decisions that the planner rejected, until the next Tick
 	heldNodes       map[structs.TaskID]*Node // VM with held capacity, by task
 	heldTasks       []*Task                  // the tasks in heldNodes, oldest hold first
 	heldTriedAt     uint64                   // value of capacityVersion at which no held task could be placed
@@ -95,7 +96,7 @@
 func New(cfg Config, plugins Plugins, ledger *quota.Ledger) *Scheduler {
 	s := &Scheduler{cfg: cfg.withDefaults(), plugins: plugins, quota: ledger, byID: map[string]*Node{},
 		rackIndexes: map[string]int{}, domainIndexes: map[string]int{}, templateIndexes: map[string]int{}, vmTypes: map[structs.Resources]bool{},
-		placed: map[structs.TaskID]*Task{}, caches: map[Shape]*shapeCache{}, heldNodes: map[structs.TaskID]*Node{}, capacityVersion: 1, cacheEpoch: 1}
+		placed: map[structs.TaskID]*Task{}, caches: map[Shape]*shapeCache{}, heldNodes: map[structs.TaskID]*Node{}, rejected: map[structs.TaskID]*Task{}, capacityVersion: 1, cacheEpoch: 1}
 	s.queue.init()
 	for _, p := range plugins.Scores {
 		if _, ok := p.(JobDependent); ok {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -287,3 +287,39 @@
 		running[k] = d.Task.ID
 	}
 }
+
+// planner is a Planner with a fixed answer.
+type planner struct{ err error }
+
+func (p *planner) Submit(scheduler.Decision) error { return p.err }
+
+// Guards against an accepted task that is never started although VMs have room: the
+// planner could not carry out its placement for a moment, and the task had left the queue.
+func TestRejectedPlacementWaitsAgain(t *testing.T) {
+	size := structs.Resources{MilliCPU: 500, MemoryMB: 500}
+	newScheduler := func() (*scheduler.Scheduler, structs.TaskID) {
+		s := scheduler.New(scheduler.Config{}, defaultPlugins(), quota.New())
+		s.SetNode(structs.Node{ID: "vm", Rack: "r", Capacity: structs.Resources{MilliCPU: 4000, MemoryMB: 4000}})
+		task := scheduler.Task{ID: structs.TaskID{Job: "job"}, Team: "team"}
+		task.Size = size
+		require.True(t, s.Add(task, epoch))
+		require.Equal(t, 1, s.Run(epoch, 10, &planner{fmt.Errorf("%w: no member list", scheduler.ErrNotNow)}))
+		require.Zero(t, s.Run(epoch, 10, &planner{}), "it is tried again at once")
+		return s, task.ID
+	}
+	s, id := newScheduler()
+	s.Tick(epoch.Add(time.Second))
+	require.Equal(t, 1, s.Run(epoch.Add(time.Second), 10, &planner{}))
+	require.NotNil(t, s.Placed(id))
+
+	s, id = newScheduler()
+	s.Withdraw(id) // cancelled
+	s.Tick(epoch.Add(time.Second))
+	require.Zero(t, s.Waiting())
+
+	s, id = newScheduler()
+	require.True(t, s.Add(scheduler.Task{ID: id, Team: "team", Shape: scheduler.Shape{Size: size}}, epoch))
+	s.Tick(epoch.Add(time.Second))
+	require.Equal(t, 1, s.Run(epoch.Add(time.Second), 10, &planner{}))
+	require.Zero(t, s.Waiting())
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -14,6 +14,7 @@
 package scheduler
 
 import (
+	"errors"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/structs"
@@ -146,8 +147,13 @@
 	Waiting() int
 }
 
+// ErrNotNow is the error of a Planner that cannot carry out a decision at present,
+// although the task still waits.
+var ErrNotNow = errors.New("the decision cannot be carried out now")
+
 // Planner carries out the decisions of a scheduler. An error means that the
-// decision had no effect, for example because the task was cancelled meanwhile.
+// decision had no effect, for example because the task was cancelled meanwhile. After
+// one that matches ErrNotNow the task waits again from the next Tick on.
 type Planner interface {
 	Submit(d Decision) error
 }
