lead: wait for the leases of a killed leader from its end on

A term now records who leads, and whether earlier leases may last. The next candidate asks that entry. Without such an answer all stays as it was.

TestEndOfTheLastLeaderShortensTheWait has the cases in which the wait must stay long.

--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -96,9 +96,15 @@
 	if err != nil {
 		return fmt.Errorf("encode the leader's record: %w", err)
 	}
-	handover, err := e.opts.Store.Get(ctx, fleet.HandoverKey)
-	if err != nil && !isNotFound(err) {
-		return fmt.Errorf("read the handover record: %w", err)
+	last, err := e.readLastTerm(ctx)
+	if err != nil {
+		return err
+	}
+	ended, endKnown := e.endOfLastLeader(ctx, last)
+	asked := time.Now()
+	record, err := e.termRecord(false)
+	if err != nil {
+		return err
 	}
 	lease, err := e.opts.Store.GrantLease(ctx, max(storeLease, e.opts.StoreLease))
 	if err != nil {
@@ -106,11 +112,8 @@
 	}
 	sent := time.Now()
 	term, err := e.opts.Store.Commit(ctx, fleet.Txn{
-		If: []fleet.Condition{{Key: fleet.LeaderKey}, {Key: fleet.HandoverKey, Revision: handover.Revision}},
-		Put: []fleet.Write{
-			{Key: fleet.LeaderKey, Value: value, Lease: lease},
-			{Key: fleet.HandoverKey, Value: noHandover}, // the old record covers earlier terms only
-		},
+		If:  []fleet.Condition{{Key: fleet.LeaderKey}, {Key: fleet.HandoverKey, Revision: last.handover.Revision}},
+		Put: append(record, fleet.Write{Key: fleet.LeaderKey, Value: value, Lease: lease}),
 	})
 	if err != nil {
 		e.endLease(lease)
@@ -120,10 +123,12 @@
 		}
 		return fmt.Errorf("write the leader's key: %w", err)
 	}
-	leader := newLeader(e.opts, term, lease, sent, e.predecessor(handover, term))
+	leader := newLeader(e.opts, term, lease, sent, e.predecessor(last.handover, term, ended+time.Since(asked), endKnown))
+	leader.termRecord = e.termRecord
 	e.setLeader(link.LeaderRecord{Node: e.opts.Node, Address: e.opts.Advertise}, term)
 	e.localLeader.Store(leader)
 	err = leader.run(ctx)
+	e.ledUntil.Store(sinceStart())
 	e.localLeader.Store(nil)
 	e.opts.Log.Warn("Leading ends.", "term", term, "why", err)
 	e.stepDown(leader)
@@ -134,28 +139,6 @@
 // noHandover is the value of the handover key during a term.
 var noHandover = []byte("null")
 
-// predecessor returns the bounds that the handover record states, or the safe ones
-// if the last leader has not stepped down or its record cannot be decoded.
-func (e *Entry) predecessor(handover fleet.Item, term uint64) predecessor {
-	p := predecessor{maxLease: maxLeaseDuration(e.opts.termGrace())}
-	if handover.Revision == 0 {
-		return p
-	}
-	var record *link.Handover
-	if err := json.Unmarshal(handover.Value, &record); err != nil {
-		e.opts.Log.Error("Cannot decode the handover record.", "err", err)
-		return p
-	}
-	if record == nil { // the leader has not stepped down
-		return p
-	}
-	p.maxLease = min(p.maxLease, time.Duration(record.LeaseMs)*time.Millisecond)
-	if record.Exclusive {
-		p.exclusiveSince = term
-	}
-	return p
-}
-
 // stepDown deletes the leader's key and writes the handover record for the next
 // leader. The store does neither if another leader has been elected, as a deposed
 // one has nothing to hand over.
--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -36,6 +36,7 @@
 	source       ConfigSource
 	config       atomic.Pointer[fleet.Config]
 	localLeader  atomic.Pointer[Leader]
+	ledUntil     atomic.Int64 // end of the last term led by this process, as of sinceStart; 0: it has led none
 	leaving      atomic.Bool
 	stopElection context.CancelFunc
 
@@ -225,8 +226,11 @@
 }
 
 func (e *Entry) answerAsk(ctx context.Context, q *pb.FleetAsk) (*pb.FleetReply, error) {
-	if q.GetKind() == link.AskStore {
+	switch q.GetKind() {
+	case link.AskStore:
 		return e.serveStore(ctx, q)
+	case link.AskLeading:
+		return e.answerLeading()
 	}
 	leader := e.localLeader.Load()
 	if leader == nil {
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 )
 
 const handoverMaxLease = 10 * time.Second
@@ -39,12 +41,81 @@
 // decoded or is that of a leader that has not stepped down.
 func TestPredecessorWithoutHandover(t *testing.T) {
 	e := NewEntry(Options{MaxLease: handoverMaxLease, Log: log.New(io.Discard)}, nil, ConfigSource{})
-	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{}, 5))
-	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{Revision: 3, Value: []byte("?")}, 5))
-	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{Revision: 3, Value: noHandover}, 5))
+	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{}, 5, 0, false))
+	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{Revision: 3, Value: []byte("?")}, 5, 0, false))
+	require.Equal(t, predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}, e.predecessor(fleet.Item{Revision: 3, Value: noHandover}, 5, 0, false))
 	value, err := json.Marshal(termOf(predecessor{exclusiveSince: 2}, time.Minute).handover(startTime))
 	require.NoError(t, err)
-	got := e.predecessor(fleet.Item{Revision: 3, Value: value}, 5)
+	got := e.predecessor(fleet.Item{Revision: 3, Value: value}, 5, 0, false)
 	require.Equal(t, uint64(5), got.exclusiveSince)
 	require.Less(t, got.maxLease, 5*time.Second)
 }
+
+// Guards against tasks of accepted jobs that wait for 10 s after the leader was killed,
+// although its process has been started anew and grants nothing (review/4), and against a
+// shorter wait while the last leader may still grant leases.
+func TestEndOfTheLastLeaderShortensTheWait(t *testing.T) {
+	ctx := t.Context()
+	store := standin.NewStore()
+	led := NewEntry(Options{Advertise: "led", Store: store, Log: log.New(io.Discard)}, nil, ConfigSource{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	led.listener, led.opts.Advertise = listener, listener.Addr().String()
+	go led.accept(ctx)
+	next := NewEntry(Options{Advertise: "next", MaxLease: handoverMaxLease, Store: store, Log: log.New(io.Discard)}, nil, ConfigSource{})
+	bound := func() predecessor {
+		last, err := next.readLastTerm(ctx)
+		require.NoError(t, err)
+		ended, known := next.endOfLastLeader(ctx, last)
+		return next.predecessor(last.handover, 9, ended, known)
+	}
+	begin := func(e *Entry, alone bool) {
+		writes, err := e.termRecord(alone)
+		require.NoError(t, err)
+		_, err = store.Commit(ctx, fleet.Txn{Put: writes})
+		require.NoError(t, err)
+	}
+	longest := predecessor{maxLease: maxLeaseDuration(handoverMaxLease)}
+	require.Equal(t, longest, bound(), "no record")
+	begin(led, false)
+	require.Equal(t, longest, bound(), "leases of its predecessors may last")
+	begin(led, true)
+	got := bound()
+	require.LessOrEqual(t, got.maxLease, maxLeaseDuration(executorLease))
+	require.Equal(t, uint64(9), got.exclusiveSince)
+	led.ledUntil.Store(sinceStart())
+	require.Greater(t, bound().maxLease, maxLeaseDuration(executorLease)-3*time.Second, "it has ended its term just now")
+	led.localLeader.Store(&Leader{})
+	require.Equal(t, longest, bound(), "it is cut off from the store, but leads")
+	led.localLeader.Store(nil)
+	_, err = store.Commit(ctx, fleet.Txn{Put: []fleet.Write{{Key: fleet.HandoverKey, Value: noHandover}}})
+	require.NoError(t, err)
+	require.Equal(t, longest, bound(), "a term of an entry of an earlier version came after it")
+	begin(&Entry{opts: Options{Advertise: "127.0.0.1:1"}}, true)
+	require.Equal(t, longest, bound(), "the last leader does not answer")
+	begin(next, true)
+	require.Less(t, bound().maxLease, longest.maxLease, "this process itself has led")
+}
+
+// Guards against a term that is recorded as the only one whose leases last while those of
+// an earlier leader may.
+func TestTermIsRecordedAsAloneOnceEarlierLeasesHaveExpired(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	l.predecessor.maxLease = handoverMaxLease
+	recorded := false
+	l.termRecord = func(alone bool) ([]fleet.Write, error) {
+		recorded = alone
+		return []fleet.Write{{Key: fleet.TermKey}}, nil
+	}
+	for _, c := range []struct {
+		age       time.Duration
+		exclusive uint64
+		want      bool
+	}{{handoverMaxLease, 0, false}, {handoverMaxLease / 2, 7, false}, {handoverMaxLease + time.Second, 0, false}, {handoverMaxLease + time.Second, 7, true}} {
+		l.exclusiveSince = c.exclusive
+		l.recordAlone(t.Context(), l.began.Add(c.age))
+		require.Equal(t, c.want, recorded, "%+v", c)
+	}
+	l.handle(<-l.events)
+	require.True(t, l.alone)
+}
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -98,6 +98,8 @@
 	offsetThen  time.Duration // wallOffset at verifiedAt
 	began       time.Time
 	predecessor predecessor
+	termRecord  func(alone bool) ([]fleet.Write, error) // nil in tests without a record
+	alone       bool                                    // that is recorded
 
 	loaded          chan struct{} // closed once the state is read from the store
 	commits         int           // in flight
@@ -115,12 +117,6 @@
 	exclusiveSince uint64
 }
 
-// predecessor bounds the effects of earlier leaders when a term begins.
-type predecessor struct {
-	maxLease       time.Duration // longest time that their leases may still last
-	exclusiveSince uint64        // store revision from which on none of them orders starts; 0: not known
-}
-
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
 		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
@@ -319,12 +315,35 @@
 	}
 	if now.Sub(l.lastMaintenance) > maintenanceInterval {
 		l.lastMaintenance = now
+		l.recordAlone(ctx, now)
 		l.forget(l.opts.StatusKept+l.opts.MaxLease, now)
 		l.removeUnreachable(ctx, now)
 		l.storeLearned(ctx)
 	}
 }
 
+// recordAlone records once that the leases of all earlier leaders have expired. If this
+// leader ends without a handover record, the next one then need not wait for them.
+func (l *Leader) recordAlone(ctx context.Context, now time.Time) {
+	if l.alone || l.termRecord == nil || l.exclusiveSince == 0 || now.Sub(l.began) <= l.predecessor.maxLease {
+		return
+	}
+	writes, err := l.termRecord(true)
+	if err != nil {
+		l.opts.Log.Error("Term not recorded as alone.", "err", err)
+		return
+	}
+	txn := l.txn()
+	txn.Put = writes
+	go func() {
+		if _, err := l.opts.Store.Commit(ctx, txn); err == nil {
+			l.post(ctx, func() { l.alone = true })
+		} else if ctx.Err() == nil {
+			l.opts.Log.Warn("Term not recorded as alone, trying again.", "err", err)
+		}
+	}()
+}
+
 // forget drops the jobs whose retention has ended. Their records are deleted later.
 func (l *Leader) forget(keep time.Duration, now time.Time) {
 	for _, id := range l.ledger.Forget(keep, now) {
--- a/internal/fleet/lead/term_test.go
+++ b/internal/fleet/lead/term_test.go
@@ -71,7 +71,7 @@
 			require.NoError(t, l.deposed)
 		}
 		e := NewEntry(o, nil, ConfigSource{})
-		require.False(t, node.LeaseUntil.After(confirmed.Add(e.predecessor(fleet.Item{}, 5).maxLease)), "a later leader takes the lease as expired after %v", outage)
+		require.False(t, node.LeaseUntil.After(confirmed.Add(e.predecessor(fleet.Item{}, 5, 0, false).maxLease)), "a later leader takes the lease as expired after %v", outage)
 	}
 	require.ErrorIs(t, l.deposed, errDeposed)
 }
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -13,13 +13,14 @@
 )
 
 // Kinds of FleetAsk messages, which an entry sends to the leader, except that
-// AskStore goes to any other entry.
+// AskStore and AskLeading go to any other entry.
 const (
 	AskAccepted  uint32 = iota + 1 // notice: an accepted job is in the store
 	AskState                       // question: the state of a job
 	AskCancelled                   // notice: the cancellation of a job is in the store
 	AskWaiting                     // question: the number of waiting jobs of a queue
 	AskStore                       // request: a call to the store, in the field job, for an entry that can't reach it
+	AskLeading                     // question to any entry: whether it leads
 )
 
 // NodeRecord is the record of an agent in the store.
@@ -38,6 +39,19 @@
 	Address string `json:"address"` // where the leader accepts sessions
 }
 
+// TermRecord is the record of a term that has begun, written together with the handover
+// record.
+type TermRecord struct {
+	Address string `json:"address"`         // of the entry that leads
+	Alone   bool   `json:"alone,omitempty"` // the leases of all earlier leaders have expired
+}
+
+// Leading is the answer to AskLeading.
+type Leading struct {
+	Leads bool  `json:"leads"`
+	ForMs int64 `json:"for_ms"` // how long the process has not led, if it doesn't
+}
+
 // Handover is the record that a leader leaves in the store when it steps down.
 // Without it the next leader has to assume that leases of the longest duration
 // were just given.
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -112,6 +112,7 @@
 const (
 	LeaderKey    = "vanillalock/leader"   // its revision is the leader's term
 	HandoverKey  = "vanillalock/handover" // left by a leader that stepped down; the next one invalidates it
+	TermKey      = "vanillalock/term"     // who leads the term of the handover record; valid while both keys have one revision
 	WatchedBase  = "vanillalock/w/"
 	JobBase      = WatchedBase + "job/"    // Job, by ID
 	CancelBase   = WatchedBase + "cancel/" // exists if the cancellation of a job was requested
