--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -181,8 +181,8 @@
 	if suspects == 1 {
 		t.crashes.Sole++
 	}
+	l.log(Event{What: "suspected of a crash", Task: t.ID, Run: run, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near+1, suspects)})
 	l.countCrashLater(t, run, n, now)
-	l.log(Event{What: "suspected of a crash", Task: t.ID, Run: run, Node: n.Name, Reason: fmt.Sprintf("crash %d in a row, %d suspects", t.crashes.Near, suspects)})
 }
 
 // countCrashLater counts a crash within harmlessAfter of the start of a run.
