lead: build the record of a term from the options

The record needs the address of the entry only, which the leader's options hold, so the function field of Leader, which was nil in tests, goes. The condition for recording is a function of its own. Behaviour is unchanged.

The test checks the condition for each case as before, and also what is stored: one record, marked, with the revision of the handover record.

--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -102,7 +102,7 @@
 	}
 	ended, endKnown := e.endOfLastLeader(ctx, last)
 	asked := time.Now()
-	record, err := e.termRecord(false)
+	record, err := e.opts.termRecord(false)
 	if err != nil {
 		return err
 	}
@@ -124,7 +124,6 @@
 		return fmt.Errorf("write the leader's key: %w", err)
 	}
 	leader := newLeader(e.opts, term, lease, sent, e.predecessor(last.handover, term, ended+time.Since(asked), endKnown))
-	leader.termRecord = e.termRecord
 	e.setLeader(link.LeaderRecord{Node: e.opts.Node, Address: e.opts.Advertise}, term)
 	e.localLeader.Store(leader)
 	err = leader.run(ctx)
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -70,7 +70,7 @@
 		return next.predecessor(last.handover, 9, ended, known)
 	}
 	begin := func(e *Entry, alone bool) {
-		writes, err := e.termRecord(alone)
+		writes, err := e.opts.termRecord(alone)
 		require.NoError(t, err)
 		_, err = store.Commit(ctx, fleet.Txn{Put: writes})
 		require.NoError(t, err)
@@ -102,20 +102,22 @@
 func TestTermIsRecordedAsAloneOnceEarlierLeasesHaveExpired(t *testing.T) {
 	l := newLoadingLeader(t, &slowStore{}, 0)
 	l.predecessor.maxLease = handoverMaxLease
-	recorded := false
-	l.termRecord = func(alone bool) ([]fleet.Write, error) {
-		recorded = alone
-		return []fleet.Write{{Key: fleet.TermKey}}, nil
-	}
 	for _, c := range []struct {
 		age       time.Duration
 		exclusive uint64
 		want      bool
 	}{{handoverMaxLease, 0, false}, {handoverMaxLease / 2, 7, false}, {handoverMaxLease + time.Second, 0, false}, {handoverMaxLease + time.Second, 7, true}} {
 		l.exclusiveSince = c.exclusive
+		require.Equal(t, c.want, l.isAlone(l.began.Add(c.age)), "%+v", c)
 		l.recordAlone(t.Context(), l.began.Add(c.age))
-		require.Equal(t, c.want, recorded, "%+v", c)
 	}
 	l.handle(<-l.events)
 	require.True(t, l.alone)
+	item, err := l.opts.Store.Get(t.Context(), fleet.TermKey)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"address":"","alone":true}`, string(item.Value))
+	handover, err := l.opts.Store.Get(t.Context(), fleet.HandoverKey)
+	require.NoError(t, err)
+	require.Equal(t, item.Revision, handover.Revision)
+	require.Empty(t, l.events, "the record was written before")
 }
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -98,8 +98,7 @@
 	offsetThen  time.Duration // wallOffset at verifiedAt
 	began       time.Time
 	predecessor predecessor
-	termRecord  func(alone bool) ([]fleet.Write, error) // nil in tests without a record
-	alone       bool                                    // that is recorded
+	alone       bool // it is recorded that no lease of an earlier leader lasts
 
 	loaded          chan struct{} // closed once the state is read from the store
 	commits         int           // in flight
@@ -325,10 +324,10 @@
 // recordAlone records once that the leases of all earlier leaders have expired. If this
 // leader ends without a handover record, the next one then need not wait for them.
 func (l *Leader) recordAlone(ctx context.Context, now time.Time) {
-	if l.alone || l.termRecord == nil || l.exclusiveSince == 0 || now.Sub(l.began) <= l.predecessor.maxLease {
+	if l.alone || !l.isAlone(now) {
 		return
 	}
-	writes, err := l.termRecord(true)
+	writes, err := l.opts.termRecord(true)
 	if err != nil {
 		l.opts.Log.Error("Term not recorded as alone.", "err", err)
 		return
@@ -344,6 +343,12 @@
 	}()
 }
 
+// isAlone reports whether no earlier leader orders starts any more and all leases of
+// theirs have expired.
+func (l *Leader) isAlone(now time.Time) bool {
+	return l.exclusiveSince != 0 && now.Sub(l.began) > l.predecessor.maxLease
+}
+
 // forget drops the jobs whose retention has ended. Their records are deleted later.
 func (l *Leader) forget(keep time.Duration, now time.Time) {
 	for _, id := range l.ledger.Forget(keep, now) {
--- a/internal/fleet/lead/predecessor.go
+++ b/internal/fleet/lead/predecessor.go
@@ -122,8 +122,8 @@
 
 // termRecord returns the writes that a term begins with, or changes its record by. Both
 // keys get one revision, which shows that they are of one term.
-func (e *Entry) termRecord(alone bool) ([]fleet.Write, error) {
-	value, err := json.Marshal(link.TermRecord{Address: e.opts.Advertise, Alone: alone})
+func (o Options) termRecord(alone bool) ([]fleet.Write, error) {
+	value, err := json.Marshal(link.TermRecord{Address: o.Advertise, Alone: alone})
 	if err != nil {
 		return nil, fmt.Errorf("encode the record of the term: %w", err)
 	}
