lead: log the term and the age of its confirmation with each decision

While two leaders act at the same time, the lines "start", "adopt" and "run gone" of both look alike: neither the users' record nor our own logs tell which of them ordered a violating start, nor how old the confirmation of its term was. Each decision of the ledger now has "term" and "unconfirmed".

Shown by TestDecisionsAreLoggedWithTheirTerm. About 40 bytes more a line.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -127,13 +127,15 @@
 	return l
 }
 
+// logEvent logs a decision with the term and the time since the store confirmed it, which
+// tell the decisions of two leaders at the same time apart.
 func (l *Leader) logEvent(e ledger.Event) {
 	l.opts.Metrics.count(e)
-	if e.Task.Job == "" {
-		l.opts.Log.Info(e.What, "vm", e.Node, "why", e.Reason)
-		return
+	fields := []any{"vm", e.Node, "why", e.Reason, "term", l.term, "unconfirmed", l.unconfirmed(time.Now()).Round(time.Millisecond)}
+	if e.Task.Job != "" {
+		fields = append([]any{"task", e.Task, "run", e.Run}, fields...)
 	}
-	l.opts.Log.Info(e.What, "task", e.Task, "run", e.Run, "vm", e.Node, "why", e.Reason)
+	l.opts.Log.Info(e.What, fields...)
 }
 
 // policyOf returns the policy of a job's queue in the current configuration, or the
--- a/internal/fleet/lead/term_test.go
+++ b/internal/fleet/lead/term_test.go
@@ -1,11 +1,14 @@
 package lead
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -75,3 +78,23 @@
 	}
 	require.ErrorIs(t, l.deposed, errDeposed)
 }
+
+// Guards against decisions of two leaders at the same time that the logs cannot tell apart.
+func TestDecisionsAreLoggedWithTheirTerm(t *testing.T) {
+	var out bytes.Buffer
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	l.opts.Log = log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter})
+	l.verifiedAt = time.Now().Add(-4 * time.Second)
+	l.offsetThen = l.wallOffset(l.verifiedAt)
+	l.logEvent(ledger.Event{What: "start", Task: fleet.TaskID{Job: "job"}, Run: 2, Node: "vm"})
+	var line struct {
+		Task, VM, Unconfirmed string
+		Term                  uint64
+	}
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "job.0.0.0", line.Task)
+	require.Equal(t, l.term, line.Term)
+	age, err := time.ParseDuration(line.Unconfirmed)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, age, 4*time.Second)
+}
