--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -38,6 +38,8 @@
 	stop    []context.CancelFunc
 	agents  []*side.Agent
 	execs   []*standin.Executor
+	// logOf returns the logger of a process. nil: nothing is logged.
+	logOf func(process string) *log.Logger
 }
 
 func listen(t *testing.T) net.Listener {
@@ -63,15 +65,29 @@
 	name := fmt.Sprintf("vm-%d", i)
 	listener := listen(r.t)
 	x := standin.NewExecutor(name, runTime, r.audit)
+	a, _ := r.runAgent(name, listener, x, r.store, executorOf(name))
+	r.agents, r.execs = append(r.agents, a), append(r.execs, x)
+}
+
+// runAgent runs an agent on an executor until the returned function or the end of the
+// test stops it.
+func (r *testFleet) runAgent(name string, listener net.Listener, x fleet.ExecutorClient, store fleet.Store, e fleet.Executor) (*side.Agent, context.CancelFunc) {
 	a := side.New(side.Options{
-		Node: name, Listener: listener, Advertise: listener.Addr().String(), Executors: x, Store: r.store,
-		MaxLease: 10 * time.Second, Log: log.New(io.Discard),
+		Node: name, Listener: listener, Advertise: listener.Addr().String(), Executors: x, Store: store,
+		MaxLease: 10 * time.Second, Log: r.logger(name),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	r.t.Cleanup(cancel)
 	go func() { _ = a.Run(ctx) }()
-	a.Announce(executorOf(name))
-	r.agents, r.execs = append(r.agents, a), append(r.execs, x)
+	a.Announce(e)
+	return a, cancel
+}
+
+func (r *testFleet) logger(process string) *log.Logger {
+	if r.logOf == nil {
+		return log.New(io.Discard)
+	}
+	return r.logOf(process)
 }
 
 func executorOf(name string) fleet.Executor {
@@ -80,11 +96,15 @@
 
 func (r *testFleet) addEntry(name string, store fleet.Store) *lead.Entry {
 	e := r.newEntry(name, store)
+	r.runEntry(e)
+	return e
+}
+
+func (r *testFleet) runEntry(e *lead.Entry) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.t.Cleanup(cancel)
 	go func() { _ = e.Run(ctx) }()
 	r.entries, r.stop = append(r.entries, e), append(r.stop, cancel)
-	return e
 }
 
 // idleEntry returns an entry that is not run: it takes no part in elections and knows
@@ -94,9 +114,13 @@
 func (r *testFleet) newEntry(name string, store fleet.Store) *lead.Entry {
 	listener := listen(r.t)
 	r.t.Cleanup(func() { _ = listener.Close() })
+	return r.newEntryOn(listener, name, store)
+}
+
+func (r *testFleet) newEntryOn(listener net.Listener, name string, store fleet.Store) *lead.Entry {
 	return lead.NewEntry(lead.Options{
 		Node: name, Advertise: listener.Addr().String(), Store: store, MaxLease: 10 * time.Second,
-		StatusKept: time.Minute, Log: log.New(io.Discard), Metrics: lead.NewMetrics(r.t.Name() + name),
+		StatusKept: time.Minute, Log: r.logger(name), Metrics: lead.NewMetrics(r.t.Name() + name),
 	}, listener, lead.ConfigSource{Prefix: "op/", Key: configKey, Decode: func([]byte) (*fleet.Config, error) {
 		return &fleet.Config{Version: 1, Queues: []fleet.Queue{{Name: "q", Policy: fleet.Policy{Pool: "pool", MaxAttempts: 2}}}}, nil
 	}})
