--- a/internal/fleet/lead/cutnet_test.go
+++ b/internal/fleet/lead/cutnet_test.go
@@ -157,6 +157,9 @@
 // callStore makes a call by way of the cut.
 func callStore[T any](ctx context.Context, s *cutStore, call func() (T, error)) (T, error) {
 	var none T
+	if ctx.Err() != nil {
+		return none, fmt.Errorf("%w: %w", kv.ErrUnavailable, ctx.Err()) // not sent
+	}
 	switch storeCut(s.cut.Load()) {
 	case storeRefused:
 		return none, fmt.Errorf("%w: refused by the test", kv.ErrUnavailable)
