side: test that an expiry which cancels orders is reported

It sets lapsed for the next report, but the next answer of the executor clears that before it is reported. The session goes on, and the leader repeats orders only with the first lists of a session.

--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -303,3 +303,31 @@
 		}
 	}
 }
+
+// Guards against a start order that is lost: the agent cancels it when the lease of the
+// executor has expired, and the leader, which is not told, takes it for under way.
+func TestExpiryThatCancelsOrdersIsReported(t *testing.T) {
+	a, x := newTestAgent(t)
+	outbox, ended := a.session.outbox, a.session.ctx.Done()
+	a.post(context.Background(), func() {
+		a.session.lastReceived = time.Now()
+		a.startRun(a.session, fleet.StartOrder{Task: fleet.TaskID{Job: "job"}, Run: 1})
+	})
+	start := <-x.calls
+	require.False(t, start.hold)
+	a.post(context.Background(), func() {
+		now := time.Now()
+		a.lease.addReading(clockReading{0, now.Add(-11 * time.Second)}, 10*time.Second)
+		a.lease.addReading(clockReading{11 * time.Second, now}, 10*time.Second)
+		a.tick(context.Background())
+	})
+	hold := <-x.calls
+	require.True(t, hold.hold)
+	hold.answer <- fleet.RunLists{Born: firstBorn, Clock: 11 * time.Second}
+	select {
+	case frame := <-outbox:
+		require.True(t, frame.GetNodeReport().GetLapsed(), "the lists are reported before the expiry")
+	case <-ended: // the leader repeats the order in the next session
+	}
+	start.answer <- fleet.RunLists{}
+}
