soak: links between each pair of processes, orders by term in violations

The links of the soak were cut for all sources of a process at once, so no play had two leaders that each reach a part of the agents, as in the incident of tasks that run twice (docs/incidents/task-twice-across-a-cut.md). A proxy now tells from the client's socket which entry has opened a connection; published addresses stay one for each process, as an entry may get them from another one that relays its calls to the store. A link may hold bytes back until the end of its fault, which is how TCP behaves across a cut. Fleets have a size and failure domains. Executors tell the judge the term of each start, and TWICE names the terms of both runs and the time between them. Draws of the seeds of TestSoak are unchanged.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,11 +25,12 @@
 type jobSpec struct {
 	RunMs   []int `json:"run_ms"`            // run time by step; 0: until stopped
 	Fails   int   `json:"fails"`             // number of first runs of each task that fail
+	FailMs  int   `json:"fail_ms,omitempty"` // run time of runs that fail, of which the first to start do; 0: 50, by their numbers
 	Crashes bool  `json:"crashes,omitempty"` // each run crashes its executor
 }
 
 // runBehavior is a standin.Behavior that follows the jobSpec of the order.
-func runBehavior(o fleet.StartOrder) (time.Duration, fleet.EndReason) {
+func (f *testFleet) runBehavior(o fleet.StartOrder) (time.Duration, fleet.EndReason) {
 	var s jobSpec
 	if err := json.Unmarshal([]byte(o.Spec), &s); err != nil || o.Task.Step >= len(s.RunMs) {
 		return time.Millisecond, fleet.EndFailed
@@ -37,8 +39,12 @@
 	if s.Crashes {
 		return run, fleet.EndUnknown
 	}
-	if o.Run <= s.Fails {
-		return min(run, 50*time.Millisecond), fleet.EndFailed
+	earlier := o.Run - 1
+	if s.FailMs > 0 { // leaders that know nothing of each other repeat the numbers of runs
+		earlier = f.checker.startsOf(o.Task)
+	}
+	if earlier < s.Fails {
+		return min(run, cmp.Or(time.Duration(s.FailMs)*time.Millisecond, 50*time.Millisecond)), fleet.EndFailed
 	}
 	return run, fleet.EndDone
 }
@@ -106,6 +112,7 @@
 	fleet      *testFleet
 	balancer   *balancer
 	rng        *rand.Rand
+	longTasks  bool       // submits jobs with tasks of 0.5 to 3 s
 	extra      *rand.Rand // for withdrawn jobs; the seeds of earlier hunts keep their draws
 	crashes    bool       // submits jobs whose tasks crash executors
 	crashRng   *rand.Rand // for these
@@ -162,6 +169,9 @@
 	spec := jobSpec{}
 	small := structs.Resources{MilliCPU: 400, MemoryMB: 300}
 	switch {
+	case c.longTasks && !lasting:
+		spec = jobSpec{RunMs: []int{500 + rng.IntN(2500)}, Fails: rng.IntN(2), FailMs: 300 + rng.IntN(2500)}
+		job.steps = []fleet.Step{{Count: 1 + rng.IntN(6), Need: small}}
 	case lasting:
 		spec.RunMs = []int{0}
 		job.steps = []fleet.Step{{Count: 2, Need: structs.Resources{MilliCPU: 1500, MemoryMB: 2000}, Lasting: true, Image: "s", TailTarget: time.Second}}
--- /dev/null
+++ b/internal/soak/cut_test.go
@@ -0,0 +1,205 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+)
+
+var (
+	cutSeeds = flag.Int("soak.cut.seeds", 2, "number of seeds with cuts of the leader, from soak.first on")
+	cutSize  = flag.String("soak.size", "3,6,9", "failure domains, entries and VMs of fleets with cuts")
+)
+
+// Times of one seed with cuts.
+const (
+	cutCount     = 2
+	minCutTime   = 9 * time.Second
+	maxCutTime   = 11 * time.Second
+	beforeCut    = 4 * time.Second // of traffic
+	betweenCuts  = 5 * time.Second
+	maxKeyDelay  = time.Second // until the key is removed where it does not lapse
+	cutCallers   = 5           // for six entries
+	maxKeptVMs   = 2
+	leaderChecks = 100 * time.Millisecond
+)
+
+// TestSoakCutLeaders guards against two leaders that start the same tasks while the first
+// one is cut off from the store, the other entries and most agents.
+func TestSoakCutLeaders(t *testing.T) {
+	playSeeds(t, seedsFrom(*cutSeeds), *parallel, runCutSeed)
+}
+
+// seedsFrom returns count seeds from -soak.first on.
+func seedsFrom(count int) []uint64 {
+	var seeds []uint64
+	for i := range count {
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	return seeds
+}
+
+// runCutSeed runs one fleet whose leader is cut off repeatedly.
+func runCutSeed(t *testing.T, binary string, slot int, seed uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var size fleetSize
+	_, err := fmt.Sscanf(*cutSize, "%d,%d,%d", &size.domains, &size.entries, &size.vms)
+	require.NoError(t, err, "-soak.size")
+	f := newTestFleet(ctx, t, binary, slot, seed, size)
+	t.Cleanup(cancel)
+	stopSending := f.sendLongTasks(seed, cutCallers*size.entries/6)
+	fleet.Sleep(ctx, beforeCut)
+	for range cutCount {
+		f.cutLeader(rand.New(rand.NewPCG(f.rng.Uint64(), 6)))
+		fleet.Sleep(ctx, betweenCuts)
+	}
+	f.clearFaults()
+	stopSending()
+	f.conclude(f.settle())
+}
+
+// sendLongTasks waits for the start of the fleet and starts callers that submit jobs with
+// tasks of 0.5 to 3 s until the returned function is called.
+func (f *testFleet) sendLongTasks(seed uint64, count int) context.CancelFunc {
+	b := f.newBalancer()
+	fleet.Sleep(f.ctx, startTime)
+	sending, stop := context.WithCancel(f.ctx)
+	for i := range count {
+		c := f.newCaller(b, seed*10+uint64(i))
+		c.longTasks = true
+		lasting := 0
+		if i == 0 {
+			lasting = lastingJobs
+		}
+		go c.run(sending, lasting)
+	}
+	return stop
+}
+
+// leader returns the entry that leads according to the store, waiting for one to be
+// elected.
+func (f *testFleet) leader() *process {
+	for f.ctx.Err() == nil {
+		item, err := f.store.Get(f.ctx, fleet.LeaderKey)
+		var record link.LeaderRecord
+		if err == nil && json.Unmarshal(item.Value, &record) == nil {
+			if i := slices.IndexFunc(f.entries, func(p *process) bool { return p.node == record.Node }); i >= 0 {
+				return f.entries[i]
+			}
+		}
+		fleet.Sleep(f.ctx, leaderChecks)
+	}
+	return f.entries[0]
+}
+
+// wayLost is the direction in which a cut between two sides loses bytes.
+type wayLost int
+
+const (
+	bothLost wayLost = iota
+	outLost          // from the side that is cut off
+	inLost
+)
+
+// cutKind is the way in which a cut of some links is carried out.
+type cutKind struct {
+	name string
+	way  wayLost
+	// open connections go on, or lose all further bytes. Otherwise they carry what was lost
+	// after the end of the cut.
+	openGoOn, openSilenced bool
+	refusing               bool // new connections are reset instead of unanswered
+}
+
+var cutKinds = []cutKind{
+	{name: "both ways"},
+	{name: "both ways, new connections refused", refusing: true},
+	{name: "open ones silenced, new ones refused", openSilenced: true, refusing: true},
+	{name: "out", way: outLost},
+	{name: "in", way: inLost},
+	{name: "new ones refused, open ones go on", openGoOn: true, refusing: true},
+}
+
+// fault returns the fault of a link whose connections are opened from the side that is cut
+// off, or to it.
+func (k cutKind) fault(opensFromInside bool) linkFault {
+	fault := linkFault{silenced: k.openSilenced, refusing: k.refusing}
+	if k.openGoOn {
+		return fault
+	}
+	out, in := up, down
+	if !opensFromInside {
+		out, in = down, up
+	}
+	fault.held[out] = k.way != inLost
+	fault.held[in] = k.way != outLost
+	return fault
+}
+
+// cutLeader cuts the entries in the failure domain of the leader off from the store, the
+// other entries and most agents. The agents that stay with the leader may be out of reach
+// of the other entries. The leader's key is removed at once, soon or not at all.
+func (f *testFleet) cutLeader(rng *rand.Rand) {
+	leader := f.leader()
+	both, in := cutKinds[0], cutKinds[4]
+	toStore := pick(rng, append([]cutKind{both, both, both}, cutKinds...))
+	toEntries := pick(rng, cutKinds)
+	// Agents that hear a leader which does not hear them any more carry out its last starts.
+	toAgents := pick(rng, append([]cutKind{both, both, in, in, in}, cutKinds...))
+	kept := rng.Perm(len(f.agents))[:1+rng.IntN(maxKeptVMs)]
+	keptCutOff, length := rng.IntN(4) > 0, minCutTime+time.Duration(rng.Int64N(int64(maxCutTime-minCutTime)))
+	keyDelay := pick(rng, []time.Duration{0, 0, time.Duration(rng.Int64N(int64(maxKeyDelay))), -1})
+	var cut []func(linkFault) // ends the faults with a zero value
+	set := func(p *proxy, source string, fault linkFault) {
+		p.setLink(source, fault)
+		cut = append(cut, func(none linkFault) { p.setLink(source, none) })
+	}
+	began := time.Now()
+	for _, inside := range f.entries {
+		if inside.domain != leader.domain {
+			continue
+		}
+		set(inside.store, "", toStore.fault(true))
+		for _, outside := range f.entries {
+			if outside.domain != leader.domain {
+				set(outside.sessions, inside.node, toEntries.fault(true))
+				set(inside.sessions, outside.node, toEntries.fault(false))
+			}
+		}
+		for i, agent := range f.agents {
+			if !slices.Contains(kept, i) {
+				set(agent.sessions, inside.node, toAgents.fault(true))
+			}
+		}
+	}
+	var names []string
+	for _, i := range kept {
+		names = append(names, f.agents[i].node)
+		for _, outside := range f.entries {
+			if keptCutOff && outside.domain != leader.domain {
+				set(f.agents[i].sessions, outside.node, both.fault(true))
+			}
+		}
+	}
+	f.t.Logf("%s domain %d of leader %s cut off for %v: store: %s; entries: %s; agents: %s; stay: %v, out of reach for others: %t; key removed after %v",
+		began.Format("15:04:05.000"), leader.domain, leader.node, length.Round(time.Millisecond), toStore.name, toEntries.name, toAgents.name, names, keptCutOff, keyDelay)
+	if keyDelay >= 0 {
+		fleet.Sleep(f.ctx, keyDelay)
+		f.store.Remove(fleet.LeaderKey)
+	}
+	fleet.Sleep(f.ctx, length-time.Since(began))
+	for _, end := range cut {
+		end(linkFault{})
+	}
+	f.t.Logf("%s cut ended", time.Now().Format("15:04:05.000"))
+}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	entries              = 3
-	vms                  = 4
 	poolName             = "pool"
 	queueHost            = "queue.example"
 	queuePrefix          = "/q/"
@@ -40,12 +38,19 @@
 	executorClockRate    = 0.98                   // speed of the executors' clocks relative to real time
 )
 
+// fleetSize is the number of processes of a fleet. Entries and VMs are spread evenly over
+// the failure domains.
+type fleetSize struct{ domains, entries, vms int }
+
+var defaultSize = fleetSize{domains: 1, entries: 3, vms: 4}
+
 // process is a process under test with the proxies for its connections.
 type process struct {
 	node     string
 	ip       string
 	env      string
 	role     string
+	domain   int    // number of its failure domain
 	store    *proxy // for its calls to the store
 	sessions *proxy // for sessions that others open to it
 
@@ -79,20 +84,22 @@
 var network = 64 + os.Getpid()%128
 
 // ip returns the loopback address with the number n of this fleet.
-func (f *testFleet) ip(n int) string { return fmt.Sprintf("127.%d.%d.%d", network, f.slot, n) }
+func (f *testFleet) ip(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", network, 2*f.slot+n>>8, n&0xff)
+}
 
 // Numbers of addresses, the first of each kind.
 const (
-	entryIP, agentIP    = 1, 11
-	sessionProxyIP      = 50 // added to the number of the process
-	storeProxyIP        = 100
-	executorIP, storeIP = 31, 200
+	entryIP, agentIP    = 1, 40
+	executorIP, storeIP = 100, 199
+	sessionProxyIP      = 200 // added to the number of the process
+	storeProxyIP        = 300
 )
 
 const logMode = 0o600 // mode of the files with the output of the processes
 
 // newTestFleet starts the stand-ins and all processes of a fleet.
-func newTestFleet(ctx context.Context, t *testing.T, binary string, slot int, seed uint64) *testFleet {
+func newTestFleet(ctx context.Context, t *testing.T, binary string, slot int, seed uint64, size fleetSize) *testFleet {
 	f := &testFleet{
 		t: t, ctx: ctx, dir: t.TempDir(), binary: binary, slot: slot, store: standin.NewStore(), audit: standin.NewAudit(),
 		checker: newChecker(), rng: rand.New(rand.NewPCG(seed, seed)),
@@ -101,11 +108,11 @@
 	f.audit.SetObserver(f.checker)
 	f.configure()
 	f.serve(net.JoinHostPort(f.ip(storeIP), fmt.Sprint(storePort)), f.gate)
-	for i := range vms {
-		f.addVM(i)
+	for i := range size.vms {
+		f.addVM(i, i%size.domains)
 	}
-	for i := range entries {
-		f.entries = append(f.entries, f.addProcess("fleet-entry", fmt.Sprintf("front-%d", i), entryIP+i, ""))
+	for i := range size.entries {
+		f.entries = append(f.entries, f.addProcess("fleet-entry", fmt.Sprintf("front-%d", i), entryIP+i, i%size.domains, ""))
 	}
 	for _, p := range f.processes() {
 		f.supervise(p)
@@ -139,7 +146,7 @@
 // rewrite replaces the addresses that processes publish by those of their proxies.
 func (f *testFleet) rewrite(_ string, value []byte) []byte {
 	text := string(value)
-	for n := 1; n < sessionProxyIP; n++ {
+	for n := entryIP; n < executorIP; n++ {
 		text = strings.ReplaceAll(text, f.ip(n)+":", f.ip(n+sessionProxyIP)+":") // before the port
 	}
 	return []byte(text)
@@ -159,8 +166,8 @@
 }
 
 // addVM adds the agent and the executor of a VM.
-func (f *testFleet) addVM(i int) {
-	agent := f.addProcess("fleet-agent", fmt.Sprintf("side-%d", i), agentIP+i, net.JoinHostPort(f.ip(executorIP+i), fmt.Sprint(executorPort)))
+func (f *testFleet) addVM(i, domain int) {
+	agent := f.addProcess("fleet-agent", fmt.Sprintf("side-%d", i), agentIP+i, domain, net.JoinHostPort(f.ip(executorIP+i), fmt.Sprint(executorPort)))
 	f.agents = append(f.agents, agent)
 	capacity := structs.Resources{MilliCPU: 8000, MemoryMB: 16000}
 	f.checker.capacity[agent.node] = capacity
@@ -185,7 +192,7 @@
 // newInstance returns a new instance of an executor. If a run crashes it, another one
 // replaces it.
 func (f *testFleet) newInstance(i int) *standin.Executor {
-	instance := standin.NewExecutorWithBehavior(f.agents[i].node, executorClockRate, f.audit, runBehavior)
+	instance := standin.NewExecutorWithBehavior(f.agents[i].node, executorClockRate, f.audit, f.runBehavior)
 	go func() {
 		select {
 		case <-instance.CrashedByTask():
@@ -198,11 +205,11 @@
 }
 
 // addProcess creates the proxies and the settings of a process without starting it.
-func (f *testFleet) addProcess(role, node string, n int, executor string) *process {
-	p := &process{node: node, ip: f.ip(n), role: role}
+func (f *testFleet) addProcess(role, node string, n, domain int, executor string) *process {
+	p := &process{node: node, ip: f.ip(n), role: role, domain: domain}
 	store := net.JoinHostPort(f.ip(n+storeProxyIP), fmt.Sprint(storePort))
-	p.store = f.proxy(store, net.JoinHostPort(f.ip(storeIP), fmt.Sprint(storePort)))
-	p.sessions = f.proxy(net.JoinHostPort(f.ip(n+sessionProxyIP), fmt.Sprint(wire.SessionPort)), net.JoinHostPort(p.ip, fmt.Sprint(wire.SessionPort)))
+	p.store = f.proxy(store, net.JoinHostPort(f.ip(storeIP), fmt.Sprint(storePort)), nil)
+	p.sessions = f.proxy(net.JoinHostPort(f.ip(n+sessionProxyIP), fmt.Sprint(wire.SessionPort)), net.JoinHostPort(p.ip, fmt.Sprint(wire.SessionPort)), f.entryOf)
 	env, err := wire.WriteSettings(filepath.Join(f.dir, node+".toml"), wire.Process{
 		Node: node, IP: p.ip, Front: role == "fleet-entry", Executor: executor, Store: store,
 	})
@@ -211,8 +218,8 @@
 	return p
 }
 
-func (f *testFleet) proxy(address, target string) *proxy {
-	p, err := newProxy(address, target)
+func (f *testFleet) proxy(address, target string, sourceOf func(net.Conn) string) *proxy {
+	p, err := newProxy(address, target, sourceOf)
 	require.NoError(f.t, err)
 	f.t.Cleanup(p.close)
 	return p
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -48,16 +48,30 @@
 
 // taskRecord holds the runs of a task according to the executors.
 type taskRecord struct {
-	running      map[string]int  // runs by executor
-	done         map[endID][]int // ends as done, each with the runs that started after it
-	acknowledged bool            // an end as done has been acknowledged
-	failedRuns   int             // acknowledged failed runs
-	crashes      int             // executors that its runs have crashed
-	lostRuns     int             // ended with the instance of their executor, by whatever cause
-	startsAfter  int             // starts after maxCrashes crashes
+	running      map[string]startedRun  // by executor
+	done         map[endID][]startedRun // ends as done, each with the runs that started after it
+	acknowledged time.Time              // when an end as done was first acknowledged; zero: none was
+	failedRuns   int                    // acknowledged failed runs
+	crashes      int                    // executors that its runs have crashed
+	lostRuns     int                    // ended with the instance of their executor, by whatever cause
+	startsAfter  int                    // starts after maxCrashes crashes
 	starts       int
 }
 
+// startedRun is a run as its executor has started it.
+type startedRun struct {
+	number int
+	term   uint64 // of the leader that ordered it
+	at     time.Time
+}
+
+// startOf returns the run that an event has started.
+func startOf(e standin.Event) startedRun { return startedRun{e.Run, e.Fence, time.Now()} }
+
+func (r startedRun) String() string {
+	return fmt.Sprintf("run %d of term %d started %v ago", r.number, r.term, time.Since(r.at).Round(time.Millisecond))
+}
+
 // instanceID identifies an instance of an executor.
 type instanceID struct {
 	executor  string
@@ -113,7 +127,7 @@
 func (c *checker) task(id fleet.TaskID) *taskRecord {
 	t := c.tasks[id]
 	if t == nil {
-		t = &taskRecord{running: map[string]int{}, done: map[endID][]int{}}
+		t = &taskRecord{running: map[string]startedRun{}, done: map[endID][]startedRun{}}
 		c.tasks[id] = t
 	}
 	return t
@@ -143,15 +157,15 @@
 	}
 	t := c.task(e.Task)
 	t.starts++
-	for other := range t.running {
-		c.addViolation("TWICE %s run %d on %s beside %s", e.Task, e.Run, e.Executor, other)
+	for executor, other := range t.running {
+		c.addViolation("TWICE %s run %d of term %d on %s beside %s, %s", e.Task, e.Run, e.Fence, e.Executor, executor, other)
 	}
-	t.running[e.Executor] = e.Run
+	t.running[e.Executor] = startOf(e)
 	for end := range t.done {
-		t.done[end] = append(t.done[end], e.Run)
+		t.done[end] = append(t.done[end], startOf(e))
 	}
-	if t.acknowledged {
-		c.addViolation("TWICE %s run %d on %s after its end was noted", e.Task, e.Run, e.Executor)
+	if !t.acknowledged.IsZero() {
+		c.addViolation("TWICE %s run %d of term %d on %s after its end was noted %v ago", e.Task, e.Run, e.Fence, e.Executor, time.Since(t.acknowledged).Round(time.Millisecond))
 	}
 	if t.failedRuns >= job.attempts && !step.Lasting {
 		c.addViolation("BUDGET %s run %d after %d failed runs", e.Task, e.Run, t.failedRuns)
@@ -218,9 +232,11 @@
 	t := c.task(e.Task)
 	switch e.Reason {
 	case fleet.EndDone:
-		t.acknowledged = true
+		if t.acknowledged.IsZero() {
+			t.acknowledged = time.Now()
+		}
 		for _, run := range t.done[endOf(e)] {
-			c.addViolation("TWICE %s run %d after an end that was noted later", e.Task, run)
+			c.addViolation("TWICE %s after an end that was noted later: %s", e.Task, run)
 		}
 	case fleet.EndFailed:
 		t.failedRuns++
@@ -335,6 +351,13 @@
 	return out
 }
 
+// startsOf returns the number of starts of a task so far.
+func (c *checker) startsOf(id fleet.TaskID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.task(id).starts
+}
+
 // counts returns the number of submitted jobs and of started runs.
 func (c *checker) counts() (jobs, starts int) {
 	c.mu.Lock()
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -18,8 +18,11 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	sourceOf func(client net.Conn) string // names the source of a connection; nil: all have the source ""
 
 	mu       sync.Mutex
+	ended    chan struct{}        // closed at the next change of links
+	links    map[string]linkFault // by source
 	conns    map[*proxyConn]struct{}
 	delay    time.Duration      // after each read
 	cut      map[direction]bool // directions in which the bytes of all connections are dropped
@@ -29,17 +32,19 @@
 // proxyConn is one forwarded connection. A direction that has lost bytes stays
 // silent, as its stream is incomplete.
 type proxyConn struct {
+	source         string
 	client, server net.Conn
 	silent         [2]bool // by direction
 }
 
-// newProxy starts a proxy that listens on address and forwards to target.
-func newProxy(address, target string) (*proxy, error) {
+// newProxy starts a proxy that listens on address and forwards to target. sourceOf may
+// be nil.
+func newProxy(address, target string, sourceOf func(net.Conn) string) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[*proxyConn]struct{}{}, cut: map[direction]bool{}}
+	p := &proxy{listener: listener, target: target, sourceOf: sourceOf, conns: map[*proxyConn]struct{}{}, cut: map[direction]bool{}, ended: make(chan struct{}), links: map[string]linkFault{}}
 	go p.accept()
 	return p, nil
 }
@@ -55,9 +60,21 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
+	source := ""
+	if p.sourceOf != nil {
+		source = p.sourceOf(client)
+	}
 	p.mu.Lock()
 	shut := p.refusing
+	link, ended := p.links[source], p.ended
 	p.mu.Unlock()
+	switch {
+	case link.refusing:
+		shut = true
+	case link.held != [2]bool{}: // one lost direction is enough: no handshake is completed
+		<-ended
+		shut = true
+	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil || shut {
 		resetConn(client)
@@ -66,7 +83,7 @@
 		}
 		return
 	}
-	c := &proxyConn{client: client, server: server}
+	c := &proxyConn{source: source, client: client, server: server}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
@@ -89,6 +106,7 @@
 		if n > 0 {
 			drop, delay := p.state(c, d)
 			time.Sleep(delay)
+			p.awaitLink(c, d)
 			if !drop {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					return
@@ -109,6 +127,42 @@
 	return c.silent[d], p.delay
 }
 
+// linkFault is a fault of the connections of one source. The zero value is none.
+type linkFault struct {
+	// held holds the directions whose bytes arrive only after the end of the fault, as TCP
+	// repeats what a cut has lost. New connections get no answer meanwhile.
+	held     [2]bool
+	silenced bool // the connections established at its beginning lose all further bytes
+	refusing bool // new connections are reset, established ones go on
+}
+
+// setLink replaces the fault of the connections of a source.
+func (p *proxy) setLink(source string, fault linkFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links[source] = fault
+	for c := range p.conns {
+		if c.source == source && fault.silenced {
+			c.silent = [2]bool{true, true}
+		}
+	}
+	close(p.ended)
+	p.ended = make(chan struct{})
+}
+
+// awaitLink waits until the link of a connection carries bytes in a direction.
+func (p *proxy) awaitLink(c *proxyConn, d direction) {
+	for {
+		p.mu.Lock()
+		held, ended := p.links[c.source].held[d], p.ended
+		p.mu.Unlock()
+		if !held {
+			return
+		}
+		<-ended
+	}
+}
+
 // resetConn closes a connection with a TCP reset instead of an orderly shutdown.
 func resetConn(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -166,5 +220,10 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	p.mu.Lock()
+	clear(p.links)
+	close(p.ended)
+	p.ended = make(chan struct{})
+	p.mu.Unlock()
 	p.resetConns()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,7 +2,7 @@
 // stand-ins of the platform. It injects faults from outside the processes, chosen
 // at random from a seed, and checks what callers and executors observe.
 //
-//	go test ./internal/soak -run TestSoak -soak.first 1 -soak.seeds 50 -soak.parallel 4
+//	go test ./internal/soak -run 'TestSoak$' -soak.first 1 -soak.seeds 50 -soak.parallel 4
 package soak
 
 import (
@@ -73,27 +73,33 @@
 // injects faults that overlap, follow each other or hit the same process twice. It
 // also guards against configurations that do not take effect or are reverted.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "vanillalock")
-	out, err := exec.Command("go", "build", "-o", binary, "vanillalock.example/vanillalock/cmd/vanillalock").CombinedOutput()
-	require.NoError(t, err, string(out))
 	seeds := append([]uint64{}, regressionSeeds...)
 	for i := range *seedCount {
 		if seed := *firstSeed + uint64(i); !slices.Contains(regressionSeeds, seed) {
 			seeds = append(seeds, seed)
 		}
 	}
-	slots := make(chan int, *parallel)
-	for slot := range *parallel {
+	playSeeds(t, seeds, *parallel, runSeed)
+}
+
+// playSeeds builds the program and runs play for each seed as a subtest, each at a time in
+// a slot of its own.
+func playSeeds(t *testing.T, seeds []uint64, parallel int, play func(t *testing.T, binary string, slot int, seed uint64)) {
+	binary := filepath.Join(t.TempDir(), "vanillalock")
+	out, err := exec.Command("go", "build", "-o", binary, "vanillalock.example/vanillalock/cmd/vanillalock").CombinedOutput()
+	require.NoError(t, err, string(out))
+	slots := make(chan int, parallel)
+	for slot := range parallel {
 		slots <- slot + 1
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			if *parallel > 1 {
+			if parallel > 1 {
 				t.Parallel()
 			}
 			slot := <-slots
 			t.Cleanup(func() { slots <- slot }) // after the cleanups of the fleet
-			runSeed(t, binary, slot, seed)
+			play(t, binary, slot, seed)
 		})
 	}
 }
@@ -101,7 +107,7 @@
 // runSeed runs one fleet with the faults of a seed and fails on violations.
 func runSeed(t *testing.T, binary string, slot int, seed uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := newTestFleet(ctx, t, binary, slot, seed)
+	f := newTestFleet(ctx, t, binary, slot, seed, defaultSize)
 	t.Cleanup(cancel)
 	b := f.newBalancer()
 	fleet.Sleep(ctx, startTime)
@@ -124,31 +130,49 @@
 		go f.forgeAnnouncements(sending, rand.New(rand.NewPCG(seed, 3)))
 	}
 	planned := seed%plannedOneIn == 0
-	f.injectFaults(planned)
+	kinds := slices.Concat(faults, plannedWork)
+	if planned {
+		kinds = plannedWork
+	}
+	f.injectFaults(kinds, planned)
 	f.clearFaults()
 	stopSending()
-	var open []string
-	for end := time.Now().Add(recoveryTime); time.Now().Before(end); fleet.Sleep(ctx, checkInterval) {
-		if open = append(f.checker.unsettled(), f.outdatedEntries()...); len(open) == 0 {
-			break
-		}
-	}
-	violations := f.checker.finish()
+	open, violations := f.settle()
 	var calls, unanswered int64
 	for _, c := range callers {
 		calls, unanswered = calls+c.calls.Load(), unanswered+c.unanswered.Load()
 	}
-	jobs, starts := f.checker.counts()
-	t.Logf("seed %d: %d jobs, %d starts, %d calls, %d without an answer", seed, jobs, starts, calls, unanswered)
 	if planned && unanswered > 0 {
 		violations = append(violations, fmt.Sprintf("LOST %d calls around planned work", unanswered))
 	}
+	jobs, starts := f.checker.counts()
+	t.Logf("seed %d: %d jobs, %d starts, %d calls, %d without an answer", seed, jobs, starts, calls, unanswered)
+	f.conclude(open, violations)
+}
+
+// settle waits until everything is as promised, for recoveryTime at most, and returns
+// what is not then, and all violations.
+func (f *testFleet) settle() (open, violations []string) {
+	for end := time.Now().Add(recoveryTime); time.Now().Before(end); fleet.Sleep(f.ctx, checkInterval) {
+		if open = append(f.checker.unsettled(), f.outdatedEntries()...); len(open) == 0 {
+			break
+		}
+	}
+	return open, f.checker.finish()
+}
+
+// conclude fails the test on violations and on what is not as promised, and keeps the logs
+// of such a seed.
+func (f *testFleet) conclude(open, violations []string) {
 	if len(violations)+len(open) > 0 && *logsKept != "" {
-		f.keepLogs(filepath.Join(*logsKept, fmt.Sprint(seed)))
+		f.keepLogs(filepath.Join(*logsKept, filepath.FromSlash(f.t.Name())))
+	}
+	for _, violation := range violations {
+		f.t.Error(violation)
 	}
-	assert.Empty(t, violations)
-	assert.Empty(t, open, "%v after the last fault", recoveryTime)
-	require.NotZero(t, starts)
+	assert.Empty(f.t, open, "%v after the last fault", recoveryTime)
+	_, starts := f.checker.counts()
+	require.NotZero(f.t, starts)
 }
 
 // disruption is a kind of fault or planned operation. inject returns when it has
@@ -276,13 +300,9 @@
 	}
 }
 
-// injectFaults injects random faults, or planned operations only, for faultTime and
-// waits for their end. Faults may overlap and may be repeated.
-func (f *testFleet) injectFaults(planned bool) {
-	kinds := append(append([]disruption{}, faults...), plannedWork...)
-	if planned {
-		kinds = plannedWork
-	}
+// injectFaults injects random disruptions of some kinds for faultTime and waits for their
+// end. They may overlap and may be repeated unless they are planned.
+func (f *testFleet) injectFaults(kinds []disruption, planned bool) {
 	begin := time.Now()
 	done := make(chan struct{})
 	running := 0
--- a/internal/standin/fleet/executor.go
+++ b/internal/standin/fleet/executor.go
@@ -273,7 +273,7 @@
 		}
 	})
 	x.runs[o.Task] = r
-	x.audit.started(Event{Task: o.Task, Run: o.Run, Executor: x.name, InstanceStart: x.born, Spec: o.Spec})
+	x.audit.started(Event{Task: o.Task, Run: o.Run, Executor: x.name, InstanceStart: x.born, Spec: o.Spec, Fence: x.fence})
 }
 
 // Stop implements fleet.ExecutorClient.
@@ -303,6 +303,7 @@
 	Executor      string
 	InstanceStart time.Time       // start of the executor's instance
 	Spec          string          // set for a start
+	Fence         uint64          // of the call that ordered it; set for a start
 	Reason        fleet.EndReason // set for an end; EndUnknown: the executor has crashed
 	Crashing      bool            // set for an end: this run has crashed the executor
 	Number        uint64          // number of the end, 0 for a start
