soak: links by addresses of their own instead of by the client's socket

Looking up the entry that owns a connection in /proc took so long under load (load average 85 on 8 cores) that sessions timed out, were dialed again and made the table of sockets longer: two worlds of twelve stood still with thousands of lookups in progress. Each entry now reads the addresses of proxies of its own. Price: an entry whose reads are relayed gets the links of the entry that relays them.

Tasks of up to 6 s in two steps, so that ends on the VMs that stay with the leader let it start tasks elsewhere; half of the cuts hit all links in one way.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -112,7 +112,7 @@
 	fleet      *testFleet
 	balancer   *balancer
 	rng        *rand.Rand
-	longTasks  bool       // submits jobs with tasks of 0.5 to 3 s
+	longTasks  bool       // submits jobs with tasks of 0.5 to 6 s
 	extra      *rand.Rand // for withdrawn jobs; the seeds of earlier hunts keep their draws
 	crashes    bool       // submits jobs whose tasks crash executors
 	crashRng   *rand.Rand // for these
@@ -170,8 +170,9 @@
 	small := structs.Resources{MilliCPU: 400, MemoryMB: 300}
 	switch {
 	case c.longTasks && !lasting:
-		spec = jobSpec{RunMs: []int{500 + rng.IntN(2500)}, Fails: rng.IntN(2), FailMs: 300 + rng.IntN(2500)}
-		job.steps = []fleet.Step{{Count: 1 + rng.IntN(6), Need: small}}
+		long := structs.Resources{MilliCPU: 700, MemoryMB: 600} // a third of the capacity is in use
+		spec = jobSpec{RunMs: []int{500 + rng.IntN(5500), 500 + rng.IntN(5500)}, Fails: rng.IntN(2), FailMs: 300 + rng.IntN(2500)}
+		job.steps = []fleet.Step{{Count: 1 + rng.IntN(4), Need: long}, {Count: 1 + rng.IntN(3), Need: long, After: []int{0}}}[:1+rng.IntN(2)]
 	case lasting:
 		spec.RunMs = []int{0}
 		job.steps = []fleet.Step{{Count: 2, Need: structs.Resources{MilliCPU: 1500, MemoryMB: 2000}, Lasting: true, Image: "s", TailTarget: time.Second}}
--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
-	"vanillalock.example/vanillalock/internal/fleet/link"
+	fleetlink "vanillalock.example/vanillalock/internal/fleet/link"
 )
 
 var (
@@ -52,7 +52,7 @@
 // runCutSeed runs one fleet whose leader is cut off repeatedly.
 func runCutSeed(t *testing.T, binary string, slot int, seed uint64) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var size fleetSize
+	size := fleetSize{links: true}
 	_, err := fmt.Sscanf(*cutSize, "%d,%d,%d", &size.domains, &size.entries, &size.vms)
 	require.NoError(t, err, "-soak.size")
 	f := newTestFleet(ctx, t, binary, slot, seed, size)
@@ -69,7 +69,7 @@
 }
 
 // sendLongTasks waits for the start of the fleet and starts callers that submit jobs with
-// tasks of 0.5 to 3 s until the returned function is called.
+// tasks of 0.5 to 6 s until the returned function is called.
 func (f *testFleet) sendLongTasks(seed uint64, count int) context.CancelFunc {
 	b := f.newBalancer()
 	fleet.Sleep(f.ctx, startTime)
@@ -91,7 +91,7 @@
 func (f *testFleet) leader() *process {
 	for f.ctx.Err() == nil {
 		item, err := f.store.Get(f.ctx, fleet.LeaderKey)
-		var record link.LeaderRecord
+		var record fleetlink.LeaderRecord
 		if err == nil && json.Unmarshal(item.Value, &record) == nil {
 			if i := slices.IndexFunc(f.entries, func(p *process) bool { return p.node == record.Node }); i >= 0 {
 				return f.entries[i]
@@ -151,34 +151,35 @@
 // of the other entries. The leader's key is removed at once, soon or not at all.
 func (f *testFleet) cutLeader(rng *rand.Rand) {
 	leader := f.leader()
-	both, in := cutKinds[0], cutKinds[4]
-	toStore := pick(rng, append([]cutKind{both, both, both}, cutKinds...))
-	toEntries := pick(rng, cutKinds)
 	// Agents that hear a leader which does not hear them any more carry out its last starts.
-	toAgents := pick(rng, append([]cutKind{both, both, in, in, in}, cutKinds...))
+	both, in := cutKinds[0], cutKinds[4]
+	toStore, toEntries, toAgents := pick(rng, slices.Concat(cutKinds, []cutKind{both, both})), pick(rng, cutKinds), pick(rng, slices.Concat(cutKinds, []cutKind{both, both, in}))
+	if rng.IntN(2) == 0 {
+		toStore, toEntries = toAgents, toAgents
+	}
 	kept := rng.Perm(len(f.agents))[:1+rng.IntN(maxKeptVMs)]
 	keptCutOff, length := rng.IntN(4) > 0, minCutTime+time.Duration(rng.Int64N(int64(maxCutTime-minCutTime)))
 	keyDelay := pick(rng, []time.Duration{0, 0, time.Duration(rng.Int64N(int64(maxKeyDelay))), -1})
-	var cut []func(linkFault) // ends the faults with a zero value
-	set := func(p *proxy, source string, fault linkFault) {
-		p.setLink(source, fault)
-		cut = append(cut, func(none linkFault) { p.setLink(source, none) })
+	var cut []*proxy
+	set := func(p *proxy, fault linkFault) {
+		p.setLink(fault)
+		cut = append(cut, p)
 	}
 	began := time.Now()
 	for _, inside := range f.entries {
 		if inside.domain != leader.domain {
 			continue
 		}
-		set(inside.store, "", toStore.fault(true))
+		set(inside.store, toStore.fault(true))
 		for _, outside := range f.entries {
 			if outside.domain != leader.domain {
-				set(outside.sessions, inside.node, toEntries.fault(true))
-				set(inside.sessions, outside.node, toEntries.fault(false))
+				set(f.links[link{inside.node, outside.node}], toEntries.fault(true))
+				set(f.links[link{outside.node, inside.node}], toEntries.fault(false))
 			}
 		}
 		for i, agent := range f.agents {
 			if !slices.Contains(kept, i) {
-				set(agent.sessions, inside.node, toAgents.fault(true))
+				set(f.links[link{inside.node, agent.node}], toAgents.fault(true))
 			}
 		}
 	}
@@ -187,7 +188,7 @@
 		names = append(names, f.agents[i].node)
 		for _, outside := range f.entries {
 			if keptCutOff && outside.domain != leader.domain {
-				set(f.agents[i].sessions, outside.node, both.fault(true))
+				set(f.links[link{outside.node, f.agents[i].node}], both.fault(true))
 			}
 		}
 	}
@@ -198,8 +199,8 @@
 		f.store.Remove(fleet.LeaderKey)
 	}
 	fleet.Sleep(f.ctx, length-time.Since(began))
-	for _, end := range cut {
-		end(linkFault{})
+	for _, p := range cut {
+		p.setLink(linkFault{})
 	}
 	f.t.Logf("%s cut ended", time.Now().Format("15:04:05.000"))
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -40,7 +40,10 @@
 
 // fleetSize is the number of processes of a fleet. Entries and VMs are spread evenly over
 // the failure domains.
-type fleetSize struct{ domains, entries, vms int }
+type fleetSize struct {
+	domains, entries, vms int
+	links                 bool // each pair of an entry and another process has a proxy of its own
+}
 
 var defaultSize = fleetSize{domains: 1, entries: 3, vms: 4}
 
@@ -50,6 +53,7 @@
 	ip       string
 	env      string
 	role     string
+	number   int    // of its addresses
 	domain   int    // number of its failure domain
 	store    *proxy // for its calls to the store
 	sessions *proxy // for sessions that others open to it
@@ -75,6 +79,8 @@
 	agents    []*process
 	executors []*wire.Executor
 	rng       *rand.Rand
+	size      fleetSize
+	links     map[link]*proxy // of sessions, instead of those of the processes; empty without size.links
 	versionMu sync.Mutex
 	version   uint64 // version of the newest configuration
 }
@@ -102,7 +108,7 @@
 func newTestFleet(ctx context.Context, t *testing.T, binary string, slot int, seed uint64, size fleetSize) *testFleet {
 	f := &testFleet{
 		t: t, ctx: ctx, dir: t.TempDir(), binary: binary, slot: slot, store: standin.NewStore(), audit: standin.NewAudit(),
-		checker: newChecker(), rng: rand.New(rand.NewPCG(seed, seed)),
+		checker: newChecker(), rng: rand.New(rand.NewPCG(seed, seed)), size: size, links: map[link]*proxy{},
 	}
 	f.gate = &storeGate{next: wire.StoreHandler(f.store, f.rewrite)}
 	f.audit.SetObserver(f.checker)
@@ -114,6 +120,9 @@
 	for i := range size.entries {
 		f.entries = append(f.entries, f.addProcess("fleet-entry", fmt.Sprintf("front-%d", i), entryIP+i, i%size.domains, ""))
 	}
+	if size.links {
+		f.addLinks()
+	}
 	for _, p := range f.processes() {
 		f.supervise(p)
 	}
@@ -145,6 +154,9 @@
 
 // rewrite replaces the addresses that processes publish by those of their proxies.
 func (f *testFleet) rewrite(_ string, value []byte) []byte {
+	if f.size.links {
+		return value // entries read the addresses of their links instead
+	}
 	text := string(value)
 	for n := entryIP; n < executorIP; n++ {
 		text = strings.ReplaceAll(text, f.ip(n)+":", f.ip(n+sessionProxyIP)+":") // before the port
@@ -206,10 +218,10 @@
 
 // addProcess creates the proxies and the settings of a process without starting it.
 func (f *testFleet) addProcess(role, node string, n, domain int, executor string) *process {
-	p := &process{node: node, ip: f.ip(n), role: role, domain: domain}
+	p := &process{node: node, number: n, ip: f.ip(n), role: role, domain: domain}
 	store := net.JoinHostPort(f.ip(n+storeProxyIP), fmt.Sprint(storePort))
-	p.store = f.proxy(store, net.JoinHostPort(f.ip(storeIP), fmt.Sprint(storePort)), nil)
-	p.sessions = f.proxy(net.JoinHostPort(f.ip(n+sessionProxyIP), fmt.Sprint(wire.SessionPort)), net.JoinHostPort(p.ip, fmt.Sprint(wire.SessionPort)), f.entryOf)
+	p.store = f.proxy(store, net.JoinHostPort(f.ip(storeIP), fmt.Sprint(f.storePortFor(p))))
+	p.sessions = f.proxy(net.JoinHostPort(f.ip(n+sessionProxyIP), fmt.Sprint(wire.SessionPort)), net.JoinHostPort(p.ip, fmt.Sprint(wire.SessionPort)))
 	env, err := wire.WriteSettings(filepath.Join(f.dir, node+".toml"), wire.Process{
 		Node: node, IP: p.ip, Front: role == "fleet-entry", Executor: executor, Store: store,
 	})
@@ -218,8 +230,8 @@
 	return p
 }
 
-func (f *testFleet) proxy(address, target string, sourceOf func(net.Conn) string) *proxy {
-	p, err := newProxy(address, target, sourceOf)
+func (f *testFleet) proxy(address, target string) *proxy {
+	p, err := newProxy(address, target)
 	require.NoError(f.t, err)
 	f.t.Cleanup(p.close)
 	return p
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -18,11 +18,10 @@
 type proxy struct {
 	listener net.Listener
 	target   string
-	sourceOf func(client net.Conn) string // names the source of a connection; nil: all have the source ""
 
 	mu       sync.Mutex
-	ended    chan struct{}        // closed at the next change of links
-	links    map[string]linkFault // by source
+	link     linkFault
+	linkSet  chan struct{} // closed at the next change of link
 	conns    map[*proxyConn]struct{}
 	delay    time.Duration      // after each read
 	cut      map[direction]bool // directions in which the bytes of all connections are dropped
@@ -32,19 +31,17 @@
 // proxyConn is one forwarded connection. A direction that has lost bytes stays
 // silent, as its stream is incomplete.
 type proxyConn struct {
-	source         string
 	client, server net.Conn
 	silent         [2]bool // by direction
 }
 
-// newProxy starts a proxy that listens on address and forwards to target. sourceOf may
-// be nil.
-func newProxy(address, target string, sourceOf func(net.Conn) string) (*proxy, error) {
+// newProxy starts a proxy that listens on address and forwards to target.
+func newProxy(address, target string) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, sourceOf: sourceOf, conns: map[*proxyConn]struct{}{}, cut: map[direction]bool{}, ended: make(chan struct{}), links: map[string]linkFault{}}
+	p := &proxy{listener: listener, target: target, conns: map[*proxyConn]struct{}{}, cut: map[direction]bool{}, linkSet: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -60,19 +57,15 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	source := ""
-	if p.sourceOf != nil {
-		source = p.sourceOf(client)
-	}
 	p.mu.Lock()
 	shut := p.refusing
-	link, ended := p.links[source], p.ended
+	link, linkSet := p.link, p.linkSet
 	p.mu.Unlock()
 	switch {
 	case link.refusing:
 		shut = true
 	case link.held != [2]bool{}: // one lost direction is enough: no handshake is completed
-		<-ended
+		<-linkSet
 		shut = true
 	}
 	server, err := net.Dial("tcp", p.target)
@@ -83,7 +76,7 @@
 		}
 		return
 	}
-	c := &proxyConn{source: source, client: client, server: server}
+	c := &proxyConn{client: client, server: server}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
@@ -106,7 +99,7 @@
 		if n > 0 {
 			drop, delay := p.state(c, d)
 			time.Sleep(delay)
-			p.awaitLink(c, d)
+			p.awaitLink(d)
 			if !drop {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					return
@@ -127,7 +120,7 @@
 	return c.silent[d], p.delay
 }
 
-// linkFault is a fault of the connections of one source. The zero value is none.
+// linkFault is a fault of all connections through a proxy. The zero value is none.
 type linkFault struct {
 	// held holds the directions whose bytes arrive only after the end of the fault, as TCP
 	// repeats what a cut has lost. New connections get no answer meanwhile.
@@ -136,30 +129,28 @@
 	refusing bool // new connections are reset, established ones go on
 }
 
-// setLink replaces the fault of the connections of a source.
-func (p *proxy) setLink(source string, fault linkFault) {
+// setLink replaces the fault of the connections.
+func (p *proxy) setLink(fault linkFault) {
+	if fault.silenced {
+		p.silenceConns()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.links[source] = fault
-	for c := range p.conns {
-		if c.source == source && fault.silenced {
-			c.silent = [2]bool{true, true}
-		}
-	}
-	close(p.ended)
-	p.ended = make(chan struct{})
+	p.link = fault
+	close(p.linkSet)
+	p.linkSet = make(chan struct{})
 }
 
-// awaitLink waits until the link of a connection carries bytes in a direction.
-func (p *proxy) awaitLink(c *proxyConn, d direction) {
+// awaitLink waits until the link carries bytes in a direction.
+func (p *proxy) awaitLink(d direction) {
 	for {
 		p.mu.Lock()
-		held, ended := p.links[c.source].held[d], p.ended
+		held, linkSet := p.link.held[d], p.linkSet
 		p.mu.Unlock()
 		if !held {
 			return
 		}
-		<-ended
+		<-linkSet
 	}
 }
 
@@ -220,10 +211,6 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
-	p.mu.Lock()
-	clear(p.links)
-	close(p.ended)
-	p.ended = make(chan struct{})
-	p.mu.Unlock()
+	p.setLink(linkFault{})
 	p.resetConns()
 }
