--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -17,36 +17,32 @@
 )
 
 var (
-	cutSeeds = flag.Int("soak.cut.seeds", 2, "number of seeds with cuts of the leader, from soak.first on")
+	cutSeeds = flag.Int("soak.cut.seeds", 0, "number of further seeds with cuts of the leader, from soak.first on")
 	cutSize  = flag.String("soak.size", "3,6,9", "failure domains, entries and VMs of fleets with cuts")
 )
 
-// Times of one seed with cuts.
+// cutSeedsAlways run every time: each of them has found violations in all its plays.
+var cutSeedsAlways = []uint64{5, 6}
+
+// Times and numbers of one seed with cuts.
 const (
-	cutCount     = 2
-	minCutTime   = 9 * time.Second
-	maxCutTime   = 11 * time.Second
-	beforeCut    = 4 * time.Second // of traffic
-	betweenCuts  = 5 * time.Second
-	maxKeyDelay  = time.Second // until the key is removed where it does not lapse
-	cutCallers   = 5           // for six entries
-	maxKeptVMs   = 2
-	leaderChecks = 100 * time.Millisecond
+	cutCount      = 2
+	minCutWorlds  = 2 // at a time
+	minCutTime    = 9 * time.Second
+	maxCutTime    = 11 * time.Second
+	beforeCut     = 4 * time.Second // of traffic
+	betweenCuts   = 5 * time.Second
+	maxStoreDelay = 2 * time.Second // from the cut of the sessions to that of the store
+	maxKeyDelay   = time.Second     // from then on until the key is removed where it does not lapse
+	cutCallers    = 5               // for six entries
+	maxKeptVMs    = 2
+	leaderChecks  = 100 * time.Millisecond
 )
 
 // TestSoakCutLeaders guards against two leaders that start the same tasks while the first
 // one is cut off from the store, the other entries and most agents.
 func TestSoakCutLeaders(t *testing.T) {
-	playSeeds(t, seedsFrom(*cutSeeds), *parallel, runCutSeed)
-}
-
-// seedsFrom returns count seeds from -soak.first on.
-func seedsFrom(count int) []uint64 {
-	var seeds []uint64
-	for i := range count {
-		seeds = append(seeds, *firstSeed+uint64(i))
-	}
-	return seeds
+	playSeeds(t, withSeeds(cutSeedsAlways, *cutSeeds), max(*parallel, minCutWorlds), runCutSeed)
 }
 
 // runCutSeed runs one fleet whose leader is cut off repeatedly.
@@ -159,6 +155,7 @@
 	}
 	kept := rng.Perm(len(f.agents))[:1+rng.IntN(maxKeptVMs)]
 	keptCutOff, length := rng.IntN(4) > 0, minCutTime+time.Duration(rng.Int64N(int64(maxCutTime-minCutTime)))
+	storeDelay := pick(rng, []time.Duration{0, time.Duration(rng.Int64N(int64(maxStoreDelay)))})
 	keyDelay := pick(rng, []time.Duration{0, 0, time.Duration(rng.Int64N(int64(maxKeyDelay))), -1})
 	var cut []*proxy
 	set := func(p *proxy, fault linkFault) {
@@ -170,7 +167,6 @@
 		if inside.domain != leader.domain {
 			continue
 		}
-		set(inside.store, toStore.fault(true))
 		for _, outside := range f.entries {
 			if outside.domain != leader.domain {
 				set(f.links[link{inside.node, outside.node}], toEntries.fault(true))
@@ -192,8 +188,14 @@
 			}
 		}
 	}
-	f.t.Logf("%s domain %d of leader %s cut off for %v: store: %s; entries: %s; agents: %s; stay: %v, out of reach for others: %t; key removed after %v",
-		began.Format("15:04:05.000"), leader.domain, leader.node, length.Round(time.Millisecond), toStore.name, toEntries.name, toAgents.name, names, keptCutOff, keyDelay)
+	fleet.Sleep(f.ctx, storeDelay)
+	for _, inside := range f.entries {
+		if inside.domain == leader.domain {
+			set(inside.store, toStore.fault(true))
+		}
+	}
+	f.t.Logf("%s domain %d of leader %s cut off for %v: store after %v: %s; entries: %s; agents: %s; stay: %v, out of reach for others: %t; key removed after %v",
+		began.Format("15:04:05.000"), leader.domain, leader.node, length.Round(time.Millisecond), storeDelay.Round(time.Millisecond), toStore.name, toEntries.name, toAgents.name, names, keptCutOff, keyDelay)
 	if keyDelay >= 0 {
 		fleet.Sleep(f.ctx, keyDelay)
 		f.store.Remove(fleet.LeaderKey)
--- a/internal/soak/leave_test.go
+++ b/internal/soak/leave_test.go
@@ -10,14 +10,17 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 )
 
-var leaveSeeds = flag.Int("soak.leave.seeds", 1, "number of seeds with calls of Leave, from soak.first on")
+var leaveSeeds = flag.Int("soak.leave.seeds", 0, "number of further seeds with calls of Leave, from soak.first on")
+
+// leaveSeedsAlways run every time.
+var leaveSeedsAlways = []uint64{1}
 
 const maxDrainTime = 2 * time.Second // from the announcement that an executor drains to its Leave
 
 // TestSoakLeaves guards against tasks that are started again because of a call of Leave
 // while their executor goes on running them.
 func TestSoakLeaves(t *testing.T) {
-	playSeeds(t, seedsFrom(*leaveSeeds), *parallel, runLeaveSeed)
+	playSeeds(t, withSeeds(leaveSeedsAlways, *leaveSeeds), *parallel, runLeaveSeed)
 }
 
 // runLeaveSeed runs one fleet whose agents are told that executors leave.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,13 +73,18 @@
 // injects faults that overlap, follow each other or hit the same process twice. It
 // also guards against configurations that do not take effect or are reverted.
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{}, regressionSeeds...)
-	for i := range *seedCount {
-		if seed := *firstSeed + uint64(i); !slices.Contains(regressionSeeds, seed) {
+	playSeeds(t, withSeeds(regressionSeeds, *seedCount), *parallel, runSeed)
+}
+
+// withSeeds returns the seeds always played and count seeds from -soak.first on.
+func withSeeds(always []uint64, count int) []uint64 {
+	seeds := slices.Clone(always)
+	for i := range count {
+		if seed := *firstSeed + uint64(i); !slices.Contains(always, seed) {
 			seeds = append(seeds, seed)
 		}
 	}
-	playSeeds(t, seeds, *parallel, runSeed)
+	return seeds
 }
 
 // playSeeds builds the program and runs play for each seed as a subtest, each at a time in
