lead: take a lapsed lease for the end of a run only once the term is confirmed

Cause: a leader that is cut off from the store closed the runs of the VMs out of its reach 4.2 s after its last grant to them, and started their tasks on the VM that was left to it until 5 s after the last confirmation of its term. The VMs were out of its reach because they followed a later leader, which had extended their leases or noted the ends of their runs. In the same way a takeover settled by leases that a later leader could have extended.

Now the lapse of a lease is a proof only for a term that the store has confirmed by a call sent after the lapse: no later leader has extended it then. The leader asks for that confirmation at once, and not more often than before while the store does not answer.

The unit tests fail before: TestLeaderCutOffFromTheStoreStartsNoTaskOfALostVM ("a later leader may have extended the lease", one run on the VM that is left).

Price: tasks of VMs that are lost in an outage of the store start again only after it; else one call to the store later.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -27,8 +27,11 @@
 	executorLease  = 4 * time.Second
 	leaseMargin    = 150 * time.Millisecond // for timers that fire late
 	verifyInterval = 600 * time.Millisecond // between renewals of the leader's key; a third of storeLease is left after two lost ones
-	tickInterval   = 100 * time.Millisecond
-	commitRetry    = 100 * time.Millisecond
+	// minVerifyInterval is the time between renewals while something waits for the term
+	// to be confirmed.
+	minVerifyInterval = 100 * time.Millisecond
+	tickInterval      = 100 * time.Millisecond
+	commitRetry       = 100 * time.Millisecond
 	// watchWait bounds the time for which the leader does not notice that the connection
 	// of its watch has gone silent. A cancellation has to be heard of within 3 s also if
 	// the entry that stored it ends before it has notified the leader.
@@ -91,7 +94,8 @@
 	links      map[string]*nodeLink
 	planner    planner
 	pacer      *pacer
-	verifiedAt time.Time // send time of the latest call that confirmed the term
+	verifiedAt time.Time     // send time of the latest call that confirmed the term
+	verifyNow  chan struct{} // a confirmation is waited for
 	// wallOffset is how far the wall clock is ahead of the monotonic one, which stands
 	// still while the VM is suspended.
 	wallOffset  func(now time.Time) time.Duration
@@ -118,7 +122,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), verifyNow: make(chan struct{}, 1), links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
@@ -258,7 +262,20 @@
 		}
 		item, err := l.opts.Store.Get(ctx, fleet.LeaderKey)
 		l.post(ctx, func() { l.handleVerify(sent, item, err) })
-		fleet.Sleep(ctx, verifyInterval)
+		fleet.Sleep(ctx, minVerifyInterval)
+		select {
+		case <-l.verifyNow:
+		case <-time.After(verifyInterval - minVerifyInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// verifySoon has the term confirmed without waiting for verifyInterval.
+func (l *Leader) verifySoon() {
+	select {
+	case l.verifyNow <- struct{}{}:
+	default:
 	}
 }
 
@@ -309,7 +326,9 @@
 // time.
 func (l *Leader) tick(ctx context.Context) {
 	now := time.Now()
-	l.ledger.Tick(now)
+	if l.ledger.Tick(now, l.verifiedAt) {
+		l.verifySoon()
+	}
 	l.ledger.ReleaseDue(time.Now(), now)
 	if l.checkTerm(now); l.deposed != nil {
 		return
--- a/internal/fleet/lead/load_test.go
+++ b/internal/fleet/lead/load_test.go
@@ -92,7 +92,7 @@
 	}
 	_, err := l.load(context.Background())
 	require.NoError(t, err)
-	l.ledger.Tick(time.Now().Add(time.Minute))
+	l.ledger.Tick(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	ready := l.ledger.Ready(time.Now())
 	require.Len(t, ready, 1)
 	require.Equal(t, fmt.Sprintf("%016x", 2), ready[0].ID.Job)
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -44,7 +44,7 @@
 	for name, n := range l.ledger.Nodes {
 		l.listOne(name, n)
 	}
-	l.ledger.Tick(l.now)
+	l.ledger.Tick(l.now, l.now)
 }
 
 // listOne reports the run list of one VM.
--- a/internal/fleet/lead/term_test.go
+++ b/internal/fleet/lead/term_test.go
@@ -29,7 +29,7 @@
 		now := time.Now()
 		l.ledger.Report(node, ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true}, now)
 		link.pendingReport = 1
-		l.ledger.Tick(now)
+		l.ledger.Tick(now, now)
 	}
 	suspended := time.Duration(0)
 	l.wallOffset = func(now time.Time) time.Duration { return wallOffset(now) + suspended }
@@ -98,3 +98,31 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, age, 4*time.Second)
 }
+
+// Guards against a leader that is cut off from the store, which takes the task of a VM that
+// follows a later leader for ended and starts it on the VM that stays with it.
+func TestLeaderCutOffFromTheStoreStartsNoTaskOfALostVM(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 1)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	lost, left := l.ledger.AddNode("lost"), l.ledger.AddNode("left")
+	link := newNodeLink("")
+	link.connected, link.cancel = true, func() {}
+	l.links["lost"], l.links["left"] = link, link
+	list := func(n *ledger.Node, running ...fleet.Running) {
+		l.ledger.Report(n, ledger.Report{Executor: &fleet.Executor{Instance: n.Name}, Listed: true, Running: running}, time.Now())
+	}
+	list(lost, fleet.Running{Task: fleet.TaskID{Job: "0000000000000000"}, Run: 1})
+	list(left)
+	l.ledger.Disconnected(lost)
+	lost.LeaseUntil, l.verifiedAt = time.Now().Add(-time.Millisecond), time.Now().Add(-4300*time.Millisecond)
+	l.tick(context.Background())
+	l.dispatch(context.Background())
+	require.Empty(t, left.Runs, "a later leader may have extended the lease")
+
+	l.confirm(time.Now())
+	l.tick(context.Background())
+	l.pacer = newPacer() // the next plan need not wait
+	l.dispatch(context.Background())
+	require.Len(t, left.Runs, 1)
+}
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -59,7 +59,7 @@
 	})
 	require.Equal(t, ledger.Cancelled, l.ledger.Jobs["cancelled"].VisibleState())
 	require.Equal(t, ledger.Queued, l.ledger.Jobs["wanted"].VisibleState())
-	l.ledger.Tick(time.Now().Add(time.Minute))
+	l.ledger.Tick(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	ready := l.ledger.Ready(time.Now())
 	require.Len(t, ready, 1)
 	require.Equal(t, "wanted", ready[0].ID.Job)
@@ -94,7 +94,7 @@
 		_, err = s.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{jobRecord("new")}})
 		require.NoError(t, err)
 	})
-	l.ledger.Tick(time.Now().Add(time.Minute))
+	l.ledger.Tick(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	ready := l.ledger.Ready(time.Now())
 	require.Len(t, ready, 1)
 	require.Equal(t, "new", ready[0].ID.Job)
@@ -156,7 +156,7 @@
 }
 
 func requireNothingReady(t *testing.T, l *Leader) {
-	l.ledger.Tick(time.Now().Add(time.Minute))
+	l.ledger.Tick(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	require.Empty(t, l.ledger.Ready(time.Now()))
 }
 
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -14,7 +14,7 @@
 func (w *fixture) listInstance(name string, instance int, running []fleet.Running, ended ...fleet.End) {
 	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool"}
 	w.ledger.Report(w.node(name), Report{Executor: e, Listed: true, Running: running, Ended: ended}, w.now)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 }
 
 // crash has the executor of a node crash and list nothing as a new instance 3 s later.
@@ -237,7 +237,7 @@
 		w.node("a").TakeOrders()
 		w.ledger.Disconnected(w.node("a"))
 		w.now = w.now.Add(maxLease + time.Second)
-		w.ledger.Tick(w.now)
+		w.ledger.Tick(w.now, w.now)
 		require.Len(t, w.ready(), 1)
 		w.listInstance("a", 1, nil)
 		w.crash("a", 2)
--- a/internal/fleet/ledger/explore_test.go
+++ b/internal/fleet/ledger/explore_test.go
@@ -281,12 +281,12 @@
 			x.lapsedEnds[e.Number] = true
 		}
 	}
-	m.ledger.Tick(m.now)
+	m.ledger.Tick(m.now, m.now)
 }
 
 // plan starts ready tasks on executors chosen at random.
 func (m *model) plan() {
-	m.ledger.Tick(m.now)
+	m.ledger.Tick(m.now, m.now)
 	for _, task := range m.ledger.Ready(m.now) {
 		x := m.pick()
 		if x.connected && m.node(x).Listed && m.node(x).Runs[task.ID] == nil {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -37,7 +37,7 @@
 func (w *fixture) list(name string, running []fleet.Running, ended ...fleet.End) {
 	e := &fleet.Executor{Instance: name + "@1", Pool: "pool", Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000}}
 	w.ledger.Report(w.node(name), Report{Executor: e, Listed: true, Running: running, Ended: ended}, w.now)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 }
 
 func (w *fixture) end(node string, task fleet.TaskID, run int, reason fleet.EndReason) fleet.End {
@@ -133,7 +133,7 @@
 	w.list("a", nil)
 	require.Empty(t, w.ready())
 	w.now = start.Add(maxLease + time.Millisecond)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 	require.Len(t, w.ready(), 1, "every lease of the earlier leader has expired")
 }
 
@@ -156,10 +156,10 @@
 	w.node("a").LeaseUntil = start.Add(4 * time.Second)
 	w.ledger.Disconnected(w.node("a"))
 	w.now = start.Add(3900 * time.Millisecond)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 	require.Empty(t, w.ready())
 	w.now = start.Add(4100 * time.Millisecond)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 	require.Len(t, w.ready(), 1)
 }
 
@@ -469,7 +469,7 @@
 			continue
 		}
 		w.now = w.now.Add(maxLease + time.Second)
-		w.ledger.Tick(w.now)
+		w.ledger.Tick(w.now, w.now)
 		require.Len(t, w.ready(), 1)
 		require.Nil(t, w.node("a"))
 	}
@@ -503,7 +503,7 @@
 	w.list("a", nil)
 	b := w.node("b")
 	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool"}, Lapsed: true}, w.now)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 	require.Len(t, w.ready(), 1)
 }
 
@@ -515,7 +515,7 @@
 	b := w.node("b")
 	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool"}, Lapsed: true}, w.now)
 	w.ledger.Disconnected(b)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 	require.Empty(t, w.ready())
 }
 
@@ -532,7 +532,7 @@
 	}
 	require.Equal(t, 1, job.Occurrences[0].Steps[0].Left)
 	require.Len(t, l.Ready(now.Add(time.Minute)), 0, "the job is inherited and not settled")
-	l.Tick(now)
+	l.Tick(now, now)
 	for _, task := range l.Ready(now) {
 		require.Equal(t, 0, task.ID.Step)
 	}
@@ -570,3 +570,33 @@
 	require.Empty(t, job.Occurrences)
 	require.Equal(t, Failed, job.VisibleState())
 }
+
+// Guards against a second run of a task whose VM follows a later leader, which has
+// extended the lease that this leader takes for expired.
+func TestLapseIsNoProofForATermThatIsNotConfirmedSince(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.list("a", nil)
+	w.list("b", nil)
+	w.add("job", false, one())
+	w.start("a")
+	w.node("a").LeaseUntil = start.Add(4 * time.Second)
+	w.ledger.Disconnected(w.node("a"))
+	w.now = start.Add(4100 * time.Millisecond)
+	require.True(t, w.ledger.Tick(w.now, start.Add(3900*time.Millisecond)), "a confirmation is waited for")
+	require.Empty(t, w.ready())
+	require.False(t, w.ledger.Tick(w.now, w.now))
+	require.Len(t, w.ready(), 1)
+}
+
+// Guards against a takeover that settles by leases of an earlier leader which a later one
+// may have extended.
+func TestTakeoverDoesNotSettleByLeasesForATermThatIsNotConfirmedSince(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.add("old", true, one())
+	w.list("a", nil)
+	w.now = start.Add(maxLease + time.Second)
+	require.True(t, w.ledger.Tick(w.now, start.Add(maxLease-time.Second)))
+	require.Empty(t, w.ready())
+	require.False(t, w.ledger.Tick(w.now, w.now))
+	require.Len(t, w.ready(), 1)
+}
--- a/internal/fleet/ledger/partial_test.go
+++ b/internal/fleet/ledger/partial_test.go
@@ -13,7 +13,7 @@
 	e := w.node(name).Executor
 	e.Instance = name + "@1"
 	w.ledger.Report(w.node(name), Report{Executor: &e, Listed: true, Partial: true, Ended: ended}, w.now)
-	w.ledger.Tick(w.now)
+	w.ledger.Tick(w.now, w.now)
 }
 
 // Guards against tasks that are started again after they have ended as done: more ends
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -160,25 +160,31 @@
 	t.closedRuns = append(t.closedRuns, r.Number)
 }
 
-// Tick closes the runs of nodes out of reach whose lease has expired by the
-// leader's clock, deletes removed nodes without runs, and sets Settled once it
-// holds.
-func (l *Ledger) Tick(now time.Time) {
+// Tick closes the runs of nodes out of reach whose lease has expired by the leader's
+// clock, deletes removed nodes without runs, and sets Settled once it holds. confirmed is
+// when the latest call was sent by which the store confirmed the term: a later leader may
+// have extended any lease that ends after it. Tick reports whether a confirmation that is
+// sent now would show that a lease has expired.
+func (l *Ledger) Tick(now, confirmed time.Time) (unproven bool) {
 	settled := true
 	for _, n := range l.Nodes {
-		expired := now.After(n.LeaseUntil)
-		if !n.Listed && expired && len(n.Runs) > 0 {
+		expired := confirmed.After(n.LeaseUntil)
+		awaited := !n.Listed && len(n.Runs) > 0
+		if awaited && expired {
 			l.expireLease(n, "lease expired, agent out of reach", now)
 		}
 		if n.removed && len(n.Runs) == 0 {
 			delete(l.Nodes, n.Name)
 		}
-		settled = settled && (n.complete || expired || n.lapsed)
+		known := n.complete || n.lapsed
+		settled = settled && (known || expired)
+		unproven = unproven || !expired && now.After(n.LeaseUntil) && (awaited || !known && !l.Settled)
 	}
 	if settled && !l.Settled {
 		l.Settled = true
 		l.log(Event{What: "settled", Reason: now.Sub(l.takeover).String()})
 	}
+	return unproven
 }
 
 // applyLists applies the lists of an executor. Partial ones prove no run absent.
