lead: start tasks on a VM only in a session begun before the term was confirmed

What callers would see: a task that runs twice. An earlier leader that is cut off from the store but not from a VM which is started anew gets a session with an agent that has forgotten the later term, beside an executor that has seen none. It starts tasks there that the later leader has started elsewhere, and repeats starts that the executor before refused.

Now starts are held in a session until the term is confirmed by a call sent after the session began. The leader asks for the confirmation at once, apart from the renewal of its key's lease.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -27,9 +27,9 @@
 	executorLease  = 4 * time.Second
 	leaseMargin    = 150 * time.Millisecond // for timers that fire late
 	verifyInterval = 600 * time.Millisecond // between renewals of the leader's key; a third of storeLease is left after two lost ones
-	// minVerifyInterval is the time between renewals while something waits for the term
-	// to be confirmed.
-	minVerifyInterval = 100 * time.Millisecond
+	// minVerifyInterval is the time between confirmations of the term while something
+	// waits for one.
+	minVerifyInterval = 50 * time.Millisecond
 	tickInterval      = 100 * time.Millisecond
 	commitRetry       = 100 * time.Millisecond
 	// watchWait bounds the time for which the leader does not notice that the connection
@@ -96,6 +96,9 @@
 	pacer      *pacer
 	verifiedAt time.Time     // send time of the latest call that confirmed the term
 	verifyNow  chan struct{} // a confirmation is waited for
+	// heldSince holds the VMs whose starts wait for a confirmation of the term, with the
+	// beginning of the session with the agent.
+	heldSince map[string]time.Time
 	// wallOffset is how far the wall clock is ahead of the monotonic one, which stands
 	// still while the VM is suspended.
 	wallOffset  func(now time.Time) time.Duration
@@ -122,7 +125,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), verifyNow: make(chan struct{}, 1), links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), verifyNow: make(chan struct{}, 1), heldSince: map[string]time.Time{}, links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
@@ -255,17 +258,21 @@
 // valid lease alone does not confirm the term: the store may remove the key without
 // ending the lease.
 func (l *Leader) verify(ctx context.Context) {
+	var renewed time.Time
 	for ctx.Err() == nil {
-		sent := time.Now()
-		if err := l.opts.Store.KeepLease(ctx, l.lease); err != nil && ctx.Err() == nil {
-			l.opts.Log.Warn("Lease of the leader's key not renewed.", "err", err)
+		if time.Since(renewed) >= verifyInterval {
+			renewed = time.Now()
+			if err := l.opts.Store.KeepLease(ctx, l.lease); err != nil && ctx.Err() == nil {
+				l.opts.Log.Warn("Lease of the leader's key not renewed.", "err", err)
+			}
 		}
+		sent := time.Now()
 		item, err := l.opts.Store.Get(ctx, fleet.LeaderKey)
 		l.post(ctx, func() { l.handleVerify(sent, item, err) })
 		fleet.Sleep(ctx, minVerifyInterval)
 		select {
 		case <-l.verifyNow:
-		case <-time.After(verifyInterval - minVerifyInterval):
+		case <-time.After(time.Until(renewed.Add(verifyInterval))):
 		case <-ctx.Done():
 		}
 	}
@@ -283,6 +290,7 @@
 func (l *Leader) confirm(sent time.Time) {
 	if sent.After(l.verifiedAt) {
 		l.verifiedAt, l.offsetThen = sent, l.wallOffset(sent)
+		l.releaseStarts(sent)
 	}
 }
 
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -123,6 +123,7 @@
 	}()
 	if !l.post(ctx, func() {
 		n.connected, n.outbox, n.cancel, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, nil, time.Time{}
+		l.holdStarts(name, time.Now())
 	}) {
 		return
 	}
@@ -145,6 +146,31 @@
 	}
 }
 
+// holdStarts keeps the leader from ordering starts from a VM until its term is confirmed
+// by a call sent after the session with the agent began: an agent that was started anew
+// has forgotten which terms it followed, and its executor may be a new one that has not
+// seen any.
+func (l *Leader) holdStarts(name string, began time.Time) {
+	if node := l.ledger.Nodes[name]; node != nil {
+		l.ledger.HoldStarts(node)
+		l.heldSince[name] = began
+		l.verifySoon()
+	}
+}
+
+// releaseStarts lets starts be ordered in the sessions that began before the given time.
+func (l *Leader) releaseStarts(confirmed time.Time) {
+	for name, began := range l.heldSince {
+		if !confirmed.After(began) {
+			continue
+		}
+		delete(l.heldSince, name)
+		if node := l.ledger.Nodes[name]; node != nil {
+			l.ledger.ReleaseStarts(node)
+		}
+	}
+}
+
 // handleDisconnect handles the end of a session with an agent.
 func (l *Leader) handleDisconnect(n *nodeLink, name string, err error) {
 	if !n.connected {
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -351,7 +351,7 @@
 	vms := make([]*place.VM, 0, len(p.ledger.Nodes))
 	nodes := make([]*ledger.Node, 0, len(p.ledger.Nodes))
 	for name, n := range p.ledger.Nodes {
-		if !n.Listed || now.Sub(n.ListedAt) > maxListAge || n.Executor.Draining {
+		if !n.MayStart() || now.Sub(n.ListedAt) > maxListAge || n.Executor.Draining {
 			continue
 		}
 		vms = append(vms, p.cachedVM(name, n, now))
--- a/internal/fleet/lead/term_test.go
+++ b/internal/fleet/lead/term_test.go
@@ -13,6 +13,7 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
 // Guards against a leader that was suspended, during which its monotonic clock stood
@@ -126,3 +127,39 @@
 	l.dispatch(context.Background())
 	require.Len(t, left.Runs, 1)
 }
+
+// Guards against an earlier leader that starts tasks on a VM that was started anew, whose
+// agent and executor do not know of the later leader that has started them elsewhere.
+func TestStartsWaitUntilTheTermIsConfirmedInTheSession(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 1)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	node, link := l.ledger.AddNode("vm"), newNodeLink("")
+	link.connected, link.cancel, link.outbox = true, func() {}, make(chan *pb.Frame, 1)
+	l.links["vm"] = link
+	list := func() {
+		l.ledger.Report(node, ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true}, time.Now())
+		l.tick(context.Background())
+		l.pacer = newPacer() // the next plan need not wait
+		l.dispatch(context.Background())
+	}
+	began := time.Now()
+	l.holdStarts("vm", began)
+	list()
+	require.Empty(t, node.Runs, "a later leader may lead")
+	l.confirm(began.Add(-time.Nanosecond))
+	list()
+	require.Empty(t, node.Runs, "the term was confirmed before the session began")
+	l.confirm(time.Now())
+	list()
+	require.Len(t, node.Runs, 1)
+
+	l.ledger.Disconnected(node)
+	link.outbox = make(chan *pb.Frame, 1)
+	l.holdStarts("vm", time.Now())
+	list() // repeats the order of the run, which has no answer
+	require.Empty(t, link.outbox)
+	l.confirm(time.Now())
+	list()
+	require.Len(t, (<-link.outbox).GetOrders().GetStarts(), 1)
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -159,6 +159,7 @@
 	complete         bool   // complete lists have come in the present session of the agent
 	completeListings int    // number of complete lists received of the instance
 	orders           Orders // not taken yet
+	startsHeld       bool   // starts are not ordered yet
 	highestEnd       uint64 // highest number of a listed end of the instance
 	ackedEnds        uint64 // Orders.Stored as last taken
 	unstoredEnds     []unstoredEnd
@@ -525,11 +526,26 @@
 	return nodes
 }
 
-// TakeOrders removes and returns the orders for the node. It reports false if
-// there are none and no further ends to acknowledge.
+// HoldStarts keeps the starts of the node from being ordered until ReleaseStarts.
+func (l *Ledger) HoldStarts(n *Node) { n.startsHeld = true }
+
+// ReleaseStarts lets the starts of the node be ordered.
+func (l *Ledger) ReleaseStarts(n *Node) {
+	n.startsHeld = false
+	l.pending[n] = struct{}{}
+}
+
+// MayStart reports whether tasks may be placed on the node.
+func (n *Node) MayStart() bool { return n.Listed && !n.startsHeld }
+
+// TakeOrders removes and returns the orders for the node, without starts while they are
+// held. It reports false if there are none and no further ends to acknowledge.
 func (n *Node) TakeOrders() (Orders, bool) {
 	o := n.orders
 	n.orders = Orders{}
+	if n.startsHeld {
+		n.orders.Starts, o.Starts = o.Starts, nil
+	}
 	o.Instance, o.Stored = n.Executor.Instance, n.storedEnds()
 	some := len(o.Starts)+len(o.Stops)+len(o.Paces) > 0 || o.Stored != n.ackedEnds
 	n.ackedEnds = o.Stored
