side: take a call Leave for no proof that the executor has ended

What callers would see: all tasks of an executor run twice. The agent took Leave for the end of the executor and its runs. But the call may be late, anyone can send it, and an executor without an answer to it goes on for some seconds.

Now a Leave makes the agent ask the executor. If it answers and has not announced to leave, the call is ignored; if it does not answer, it counts as leaving, and as gone once its last lease has expired, which also removes its registration. The clock reading of the call that confirms an instance starts the count of its leases.

TestRegistrationIsRemovedWhenTheExecutorLeaves lets the executor end before.

--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -443,9 +443,11 @@
 // Guards against a registration that remains after its executor has left; a new leader
 // would wait for that VM.
 func TestRegistrationIsRemovedWhenTheExecutorLeaves(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 1, 2, 20*time.Millisecond)
 	r.submit(r.entries[0], jobOf("first", 2))
 	r.await(r.entries[0], "first", "done")
+	r.execs[0].Crash()
 	r.agents[0].Leave("vm-0", 0)
 	require.Eventually(t, func() bool {
 		_, err := r.store.Get(context.Background(), fleet.NodeBase+"vm-0")
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -66,10 +66,11 @@
 	poolConfigured bool                  // the configuration has the executor's pool
 	candidates     map[string]*candidate // announced instances that are not confirmed yet, by Instance
 	lease          lease
-	lapsed         bool   // every lease of the executor has expired
-	executorLeft   bool   // the executor has ended
-	ackedEnd       uint64 // ends up to this number are stored by the leader
-	lastListedEnd  uint64 // highest number of an end that the executor has listed
+	lapsed         bool      // every lease of the executor has expired
+	leaveAt        time.Time // when the executor was said to leave; zero: it was not
+	executorLeft   bool      // the executor has ended
+	ackedEnd       uint64    // ends up to this number are stored by the leader
+	lastListedEnd  uint64    // highest number of an end that the executor has listed
 
 	term         uint64
 	session      *session
@@ -176,7 +177,7 @@
 		a.opts.Log.Warn("Leader is silent, session closed.", "term", a.session.term)
 		a.session.cancel()
 	}
-	if a.executor == nil || a.session == nil {
+	if a.executor == nil {
 		return
 	}
 	if a.executorLeft {
@@ -191,6 +192,12 @@
 		clear(a.sentReports)
 		a.cancelOrders()
 	}
+	if a.lapsed && !a.leaveAt.IsZero() {
+		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
+		a.executorLeft = true
+		a.report(ledger.Report{})
+		return
+	}
 	a.hold(holdWait)
 	if now.Sub(a.lease.latest.at) > 2*holdWait { // no hold has brought lists to report
 		a.report(ledger.Report{})
@@ -269,6 +276,9 @@
 	if sent.After(a.uncertainSince) {
 		a.instanceUncertain.Store(false)
 	}
+	if !a.leaveAt.IsZero() && sent.After(a.leaveAt) {
+		a.answeredAfterLeave()
+	}
 	a.lease.addReading(clockReading{lists.Clock, time.Now()}, a.opts.MaxLease)
 	a.lapsed = false
 	a.given.update(lists, time.Now())
@@ -303,6 +313,9 @@
 	if s := a.session; s != nil && s.ctx.Err() == nil {
 		a.opts.Log.Warn("Executor does not answer.", "instance", e.Instance, "err", err)
 	}
+	if !a.leaveAt.IsZero() {
+		a.silentAfterLeave()
+	}
 	a.setInstanceUncertain()
 	a.scheduleHold(holdRetryDelay)
 }
--- a/internal/fleet/side/announcement.go
+++ b/internal/fleet/side/announcement.go
@@ -35,7 +35,9 @@
 	a.post(context.Background(), func() { a.handleAnnouncement(e) })
 }
 
-// Leave implements fleet.Announcements.
+// Leave implements fleet.Announcements. It proves no end: the call may be late or come from
+// another writer, and an executor without an answer to it goes on for some seconds. The
+// executor has left once its last lease has expired without an answer after the call.
 func (a *Agent) Leave(id string, born int64) {
 	a.post(context.Background(), func() {
 		for instance, c := range a.candidates {
@@ -50,13 +52,32 @@
 			a.opts.Log.Warn("End of another instance ignored.", "id", id, "born", born, "current", a.executor.Instance)
 			return
 		}
-		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
-		a.executor.Draining, a.executorLeft, a.lapsed = true, true, true
-		a.cancelOrders()
-		a.report(ledger.Report{})
+		a.opts.Log.Info("Executor is said to leave.", "instance", a.executor.Instance)
+		a.leaveAt = time.Now()
+		a.holdAtOnce()
 	})
 }
 
+// answeredAfterLeave handles an answer of the executor to a hold that was sent after it is
+// said to have left.
+func (a *Agent) answeredAfterLeave() {
+	if a.executor.Draining {
+		return // it ends soon
+	}
+	a.opts.Log.Warn("End of an executor ignored, it answers and has not announced to leave.", "instance", a.executor.Instance)
+	a.leaveAt = time.Time{}
+}
+
+// silentAfterLeave handles a hold without an answer after the executor is said to have left.
+func (a *Agent) silentAfterLeave() {
+	if a.executor.Draining {
+		return
+	}
+	e := *a.executor
+	e.Draining = true
+	a.updateExecutor(e)
+}
+
 // handleAnnouncement updates the description of the executor, or has a new instance
 // confirmed.
 func (a *Agent) handleAnnouncement(e fleet.Executor) {
@@ -159,7 +180,7 @@
 		return
 	case err == nil && sent.After(a.adoptedAt):
 		delete(a.candidates, instance)
-		a.adopt(c.executor)
+		a.adopt(c.executor, lists.Clock)
 		return
 	case errors.Is(err, fleet.ErrFenced):
 		c.fenced = true // until a session tells the agent the term
@@ -179,8 +200,8 @@
 }
 
 // adopt makes a confirmed instance the current one and discards all state of the
-// previous one.
-func (a *Agent) adopt(e fleet.Executor) {
+// previous one. clock is the reading of its clock that came with the confirmation.
+func (a *Agent) adopt(e fleet.Executor, clock time.Duration) {
 	a.opts.Log.Info("Executor announced itself.", "instance", e.Instance, "pool", e.Pool, "labels", e.Labels)
 	if a.executor != nil && a.executor.ID != e.ID {
 		clear(a.unanswered) // it refuses calls that were meant for another ID
@@ -195,7 +216,8 @@
 	if a.session != nil {
 		a.session.reported, a.session.crashReported = reportedLists{}, false
 	}
-	a.lease, a.lapsed, a.executorLeft, a.ackedEnd, a.lastListedEnd = lease{}, false, false, 0, 0
+	a.lease, a.lapsed, a.executorLeft, a.leaveAt, a.ackedEnd, a.lastListedEnd = lease{}, false, false, time.Time{}, 0, 0
+	a.lease.addReading(clockReading{clock, time.Now()}, a.opts.MaxLease)
 	clear(a.sentReports)
 	a.cancelOrders()
 	a.hold(0)
