ledger: close a run only by a typed proof

What callers would see: a task that runs twice. A refused start closed its run although an agent that has been started anew since may have called the executor before it; the agent knows of such calls for 10 s only.

closeRun now takes a proof, which only the functions of proof.go return, each after it has checked what makes it true. A refusal of a start that was ordered in several sessions is none any more: the run is stopped, and its end or its absence waited for. The log line of a closed run has the age of its proof.

Evidence: TestRefusalOfARepeatedStartProvesNothing, which failed before (the task was ready at once).

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -139,6 +139,9 @@
 func (l *Leader) logEvent(e ledger.Event) {
 	l.opts.Metrics.count(e)
 	fields := []any{"vm", e.Node, "why", e.Reason, "term", l.term, "unconfirmed", l.unconfirmed(time.Now()).Round(time.Millisecond)}
+	if e.Age > 0 {
+		fields = append(fields, "age", e.Age.Round(time.Millisecond))
+	}
 	if e.Task.Job != "" {
 		fields = append([]any{"task", e.Task, "run", e.Run}, fields...)
 	}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -51,6 +51,7 @@
 	confirmedAt   time.Time // when its start was first answered or listed in the instance
 	survived      bool      // the executor has not crashed at its start
 	withheld      bool      // not ordered from the present instance
+	repeated      bool      // its start was ordered in several sessions
 }
 
 // Task is one task of an occurrence of a job.
@@ -209,6 +210,7 @@
 	Run    int
 	Node   string
 	Reason string
+	Age    time.Duration // of the proof that a run has ended
 }
 
 // Ledger holds the state of the jobs and nodes during one term of a leader. It is
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -600,3 +600,33 @@
 	require.False(t, w.ledger.Tick(w.now, w.now))
 	require.Len(t, w.ready(), 1)
 }
+
+// Guards against a second run of a task whose start an agent refuses that was started anew:
+// the process before it may have called the executor, which carries the call out late.
+func TestRefusalOfARepeatedStartProvesNothing(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.list("a", nil)
+	w.list("b", nil)
+	w.add("job", false, one())
+	id := taskOf("job")
+	w.start("a")
+	w.node("a").TakeOrders()
+	w.ledger.Disconnected(w.node("a"))
+	w.list("a", nil)
+	orders, _ := w.node("a").TakeOrders()
+	require.Len(t, orders.Starts, 1, "repeated")
+	e := w.node("a").Executor
+	w.ledger.Report(w.node("a"), Report{Executor: &e, Results: []Result{{Task: id, Run: 1, Result: fleet.OrderBusy}}}, w.now)
+	w.now = w.now.Add(time.Second)
+	require.Empty(t, w.ready())
+	orders, _ = w.node("a").TakeOrders()
+	require.Equal(t, []RunRef{{id, 1}}, orders.Stops)
+	w.list("a", nil)
+	w.list("a", nil)
+	require.Empty(t, w.ready(), "the stop has no answer yet")
+	w.ledger.Report(w.node("a"), Report{Executor: &e, Results: []Result{{Task: id, Run: 1, Stop: true, Result: fleet.OrderDone}}}, w.now)
+	w.list("a", nil)
+	w.list("a", nil)
+	w.now = w.now.Add(time.Second)
+	require.Equal(t, []fleet.TaskID{id}, w.ready())
+}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -84,8 +84,8 @@
 		l.newInstance(n, *r.Executor, now)
 	}
 	n.Executor = *r.Executor
-	if r.Lapsed {
-		l.expireLease(n, "lease expired", now)
+	if p, lapsed := lapsedByReport(r, now); lapsed {
+		l.expireLease(n, p, now)
 		n.lapsed = true
 	}
 	l.countReportedCrashes(n, r.Results, now)
@@ -105,8 +105,8 @@
 		l.countCrash(n, now)
 	}
 	for _, r := range n.Runs {
-		if r.inInstance {
-			l.closeRun(r, "executor ended", time.Time{})
+		if p, ended := replacedBy(r, now); ended {
+			l.closeRun(r, p, now, 0)
 			continue
 		}
 		// The order may have reached the new instance, which is called under the
@@ -132,30 +132,25 @@
 
 // expireLease closes all runs of a node whose executor's lease has expired, and
 // drops the orders to start further ones.
-func (l *Ledger) expireLease(n *Node, reason string, now time.Time) {
+func (l *Ledger) expireLease(n *Node, p proof, now time.Time) {
 	n.lapsedSuspects, n.lapsedLate = append(n.lapsedSuspects, n.suspects()...), append(n.lapsedLate, n.lateSuspects()...)
-	l.closeRuns(n, reason, now)
-	n.orders.Starts = nil
-}
-
-// closeRuns closes all runs of a node.
-func (l *Ledger) closeRuns(n *Node, reason string, retry time.Time) {
 	for _, r := range n.Runs {
-		l.closeRun(r, reason, retry)
+		l.closeRun(r, p, now, 0)
 	}
+	n.orders.Starts = nil
 }
 
-// closeRun removes a run that no longer exists and of which the executor lists no
-// end. It does not count as an attempt; its task may start again after retry.
-func (l *Ledger) closeRun(r *Run, reason string, retry time.Time) {
+// closeRun removes a run that has ended by a proof and of which the executor lists no end.
+// It does not count as an attempt; its task may start again after the delay.
+func (l *Ledger) closeRun(r *Run, p proof, now time.Time, delay time.Duration) {
 	delete(r.Node.Runs, r.ID)
 	r.Node.changes++
-	l.log(Event{What: "run gone", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: reason})
+	l.log(Event{What: "run gone", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: p.kind.String(), Age: now.Sub(p.at)})
 	t := r.Task
 	if t == nil || t.Current != r {
 		return
 	}
-	t.Current, t.NotBefore = nil, retry
+	t.Current, t.NotBefore = nil, now.Add(delay)
 	t.EndedRun = max(t.EndedRun, r.Number)
 	t.closedRuns = append(t.closedRuns, r.Number)
 }
@@ -168,10 +163,10 @@
 func (l *Ledger) Tick(now, confirmed time.Time) (unproven bool) {
 	settled := true
 	for _, n := range l.Nodes {
-		expired := confirmed.After(n.LeaseUntil)
+		p, expired := lapsedByGrants(n, confirmed)
 		awaited := !n.Listed && len(n.Runs) > 0
 		if awaited && expired {
-			l.expireLease(n, "lease expired, agent out of reach", now)
+			l.expireLease(n, p, now)
 		}
 		if n.removed && len(n.Runs) == 0 {
 			delete(l.Nodes, n.Name)
@@ -210,8 +205,8 @@
 		if first && run.Pace != fullPace { // the order for it may be lost with the last session
 			run.Pace = unknownPace
 		}
-		if !r.Partial && run.absentFrom > 0 && n.completeListings >= run.absentFrom && run.lastListing != n.listings {
-			l.closeRun(run, "not listed", now.Add(retryDelay))
+		if p, absent := absentFrom(run, r, now); absent {
+			l.closeRun(run, p, now, retryDelay)
 			continue
 		}
 		if first && (run.lastListing != n.listings || run.State == Stopping) {
@@ -228,6 +223,7 @@
 		l.deferStart(r)
 	case r.State == Starting && r.Task != nil:
 		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
+		r.repeated = true
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
 		if ref := (RunRef{r.ID, r.Number}); !slices.Contains(r.Node.orders.Stops, ref) {
@@ -463,7 +459,11 @@
 		run.absentFrom = n.completeListings + absenceListings
 	default:
 		n.addTrouble(0.5, now)
-		l.closeRun(run, "refused", now.Add(retryDelay))
+		if p, never := refusedOnce(run, r.Result, now); never {
+			l.closeRun(run, p, now, retryDelay)
+			return
+		}
+		l.Stop(run, "refused, an earlier order may have started it")
 	}
 }
 
