link: split orders that exceed the limit of a frame

What callers saw: nothing yet; found by reading. The leader put all orders for an agent into one frame. One over 1 MB (260 starts with specs or checkpoints of 4,000 bytes) ends the session, and the next one begins with the same orders, so the VM gets none and its jobs stand still.

Cause: the frame was not bounded by its sender. Orders go out in parts of 256 KB of starts now; the lease and the answer to the report go with the first.

--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -66,14 +66,17 @@
 // send queues orders, with a lease if it is not 0. If the queue is full it ends the
 // session; the agent gets the missed orders in the next one.
 func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
-	frame := link.Orders(o, n.pendingReport, lease, n.specs)
-	m.OrderBytes.Add(int64(proto.Size(frame)))
-	select {
-	case n.outbox <- frame:
-	default:
-		n.cancel()
+	for _, part := range link.SplitOrders(o) {
+		frame := link.Orders(part, n.pendingReport, lease, n.specs)
+		n.pendingReport, lease = 0, 0
+		m.OrderBytes.Add(int64(proto.Size(frame)))
+		select {
+		case n.outbox <- frame:
+		default:
+			n.cancel()
+			return
+		}
 	}
-	n.pendingReport = 0
 }
 
 // run keeps a session with the agent open, and reconnects after a failure, until ctx
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -9,6 +9,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/structs"
+	"vanillalock.example/vanillalock/internal/wire"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -80,6 +81,30 @@
 	return &pb.Frame{Body: &pb.Frame_Orders{Orders: m}}
 }
 
+// maxOrderBytes bounds the payload of the starts of one frame. A frame over
+// wire.MaxFrameBytes ends the session, and the next one would begin with the same orders.
+const maxOrderBytes = wire.MaxFrameBytes / 4
+
+// SplitOrders returns the orders in parts that fit into a frame each, in their order. All
+// but the starts are in the first one.
+func SplitOrders(o ledger.Orders) []ledger.Orders {
+	starts := o.Starts
+	o.Starts = nil
+	parts := []ledger.Orders{o}
+	size := 0
+	for _, s := range starts {
+		payload := len(s.Spec) + len(s.Checkpoint) + len(s.Ticket)
+		if size > 0 && size+payload > maxOrderBytes {
+			parts = append(parts, ledger.Orders{Instance: o.Instance, Stored: o.Stored})
+			size = 0
+		}
+		size += payload
+		last := &parts[len(parts)-1]
+		last.Starts = append(last.Starts, s)
+	}
+	return parts
+}
+
 // ReadOrders converts orders from protobuf. It fails on a malformed task name. The
 // specs are those of the session, of which it is called for each frame.
 func ReadOrders(m *pb.Orders, specs *Specs) (ledger.Orders, error) {
