ledger: order no start of a run that was stopped or closed

What callers would see: a task of a cancelled job that runs on for good, or a task that runs twice. A start and a stop of one run could leave in one frame, or, since starts wait for a confirmation of the term, the start after the stop. The agent then cancelled the stop for the start, and nobody stopped the run again.

Starts leave now only while their run waits for them, and an agent carries out no start of a run that it is stopping.

Shown by TestNoStartIsOrderedOfARunThatWasStopped and TestStartDoesNotCancelAStopOfItsRun.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -545,6 +545,7 @@
 func (n *Node) TakeOrders() (Orders, bool) {
 	o := n.orders
 	n.orders = Orders{}
+	o.Starts = slices.DeleteFunc(o.Starts, func(s fleet.StartOrder) bool { return !n.awaitsStart(s) })
 	if n.startsHeld {
 		n.orders.Starts, o.Starts = o.Starts, nil
 	}
@@ -554,6 +555,13 @@
 	return o, some
 }
 
+// awaitsStart reports whether a start is still to be ordered: its run may have been stopped
+// or closed meanwhile.
+func (n *Node) awaitsStart(s fleet.StartOrder) bool {
+	r := n.Runs[s.Task]
+	return r != nil && r.Number == s.Run && r.State == Starting
+}
+
 // storedEnds returns the number up to which all listed ends are stored.
 func (n *Node) storedEnds() uint64 {
 	for len(n.unstoredEnds) > 0 && n.unstoredEnds[0].job.storedVersion >= n.unstoredEnds[0].version {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -630,3 +630,39 @@
 	w.now = w.now.Add(time.Second)
 	require.Equal(t, []fleet.TaskID{id}, w.ready())
 }
+
+// Guards against a task of a cancelled job that runs on, and one that runs twice: a start
+// that waits for a confirmation is ordered after the run was stopped or closed.
+func TestNoStartIsOrderedOfARunThatWasStopped(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.list("a", nil)
+	w.list("b", nil)
+	w.add("job", false, one())
+	w.start("a")
+	w.node("a").TakeOrders()
+	w.ledger.Disconnected(w.node("a"))
+	w.ledger.HoldStarts(w.node("a"))
+	w.list("a", nil) // repeats the start
+	w.ledger.Cancel("job", w.now)
+	orders, _ := w.node("a").TakeOrders()
+	require.Empty(t, orders.Starts)
+	require.Len(t, orders.Stops, 1)
+	w.ledger.ReleaseStarts(w.node("a"))
+	orders, _ = w.node("a").TakeOrders()
+	require.Empty(t, orders.Starts, "its run is being stopped")
+}
+
+// Guards against a takeover that settles without a VM whose registration is removed before
+// its lists have come: an earlier leader may have started tasks on it.
+func TestRemovedRegistrationDoesNotSettle(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.add("old", true, one())
+	w.ledger.RemoveNode("b")
+	w.list("a", nil)
+	require.Empty(t, w.ready())
+	w.now = start.Add(maxLease + time.Millisecond)
+	w.ledger.Tick(w.now, w.now)
+	require.Len(t, w.ready(), 1)
+	w.ledger.Tick(w.now, w.now)
+	require.Nil(t, w.node("b"))
+}
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -112,8 +112,8 @@
 // refusal is reported as such only if no call before it may have started the run.
 func (a *Agent) startRun(s *session, start fleet.StartOrder) {
 	ref := ledger.RunRef{Task: start.Task, Run: start.Run}
-	if earlier := a.orders[ref]; earlier != nil && !earlier.stop {
-		return // in progress already
+	if a.orders[ref] != nil {
+		return // in progress already, or being stopped
 	}
 	o := a.beginOrder(s, ref, false)
 	o.withdrawn.Store(a.executor.Draining)
--- a/internal/fleet/side/orders_test.go
+++ b/internal/fleet/side/orders_test.go
@@ -84,3 +84,17 @@
 	})
 	require.Equal(t, fleet.OrderBusy, awaitResult(t, x, next))
 }
+
+// Guards against a task that runs on though its stop was ordered: a start of the same run
+// cancels the stop that has no answer yet.
+func TestStartDoesNotCancelAStopOfItsRun(t *testing.T) {
+	a, _ := newTestAgent(t)
+	ref := ledger.RunRef{Task: fleet.TaskID{Job: "job"}, Run: 1}
+	cancelled := make(chan bool)
+	a.post(t.Context(), func() {
+		stop := a.beginOrder(a.session, ref, true)
+		a.startRun(a.session, fleet.StartOrder{Task: ref.Task, Run: ref.Run})
+		cancelled <- stop.ctx.Err() != nil
+	})
+	require.False(t, <-cancelled)
+}
