side: tell the leader of an expired lease at once

When the lease of its executor has expired, the agent drops its start orders and notes the expiry for the next report. Now the expiry is reported with the dropped orders.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -192,6 +192,9 @@
 		clear(a.sentReports)
 		a.cancelOrders()
 	}
+		// An answer may come before the next report; the leader would then wait for the
+		// results of the orders.
+		a.report(ledger.Report{})
 	if a.lapsed && !a.leaveAt.IsZero() {
 		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
 		a.executorLeft = true
