side: use an executor again that was said to leave and answers

What callers would see: a sound VM that is never used again. A late Leave, or one of another writer, comes while no leader has a session; the agent asks the executor nothing then, and once the last lease has ended it takes it for gone, whatever it announces later. Now an executor has left only if it has not answered a call that was made after the Leave, and one that announces itself again is confirmed anew.

Shown by TestExecutorSaidToLeaveIsUsedAgainOnceItAnswers, which failed before.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -68,6 +68,7 @@
 	lease          lease
 	lapsed         bool      // every lease of the executor has expired
 	leaveAt        time.Time // when the executor was said to leave; zero: it was not
+	leaveSilent    bool      // it has not answered a call that was made since then
 	executorLeft   bool      // the executor has ended
 	ackedEnd       uint64    // ends up to this number are stored by the leader
 	lastListedEnd  uint64    // highest number of an end that the executor has listed
@@ -191,11 +192,11 @@
 		// the leader of the expiry first.
 		clear(a.sentReports)
 		a.cancelOrders()
-	}
 		// An answer may come before the next report; the leader would then wait for the
 		// results of the orders.
 		a.report(ledger.Report{})
-	if a.lapsed && !a.leaveAt.IsZero() {
+	}
+	if a.lapsed && a.leaveSilent {
 		a.opts.Log.Info("Executor has left.", "instance", a.executor.Instance)
 		a.executorLeft = true
 		a.report(ledger.Report{})
@@ -235,6 +236,7 @@
 		a.post(context.Background(), func() {
 			if generation == a.generation {
 				a.holdInFlight = false
+				a.noteAnswerAfterLeave(sent, err)
 				a.handleHold(e, sent, lists, err)
 			}
 		})
@@ -279,9 +281,6 @@
 	if sent.After(a.uncertainSince) {
 		a.instanceUncertain.Store(false)
 	}
-	if !a.leaveAt.IsZero() && sent.After(a.leaveAt) {
-		a.answeredAfterLeave()
-	}
 	a.lease.addReading(clockReading{lists.Clock, time.Now()}, a.opts.MaxLease)
 	a.lapsed = false
 	a.given.update(lists, time.Now())
@@ -316,9 +315,6 @@
 	if s := a.session; s != nil && s.ctx.Err() == nil {
 		a.opts.Log.Warn("Executor does not answer.", "instance", e.Instance, "err", err)
 	}
-	if !a.leaveAt.IsZero() {
-		a.silentAfterLeave()
-	}
 	a.setInstanceUncertain()
 	a.scheduleHold(holdRetryDelay)
 }
--- a/internal/fleet/side/announcement.go
+++ b/internal/fleet/side/announcement.go
@@ -53,35 +53,34 @@
 			return
 		}
 		a.opts.Log.Info("Executor is said to leave.", "instance", a.executor.Instance)
-		a.leaveAt = time.Now()
+		a.leaveAt, a.leaveSilent = time.Now(), false
 		a.holdAtOnce()
 	})
 }
 
-// answeredAfterLeave handles an answer of the executor to a hold that was sent after it is
-// said to have left.
-func (a *Agent) answeredAfterLeave() {
-	if a.executor.Draining {
-		return // it ends soon
-	}
-	a.opts.Log.Warn("End of an executor ignored, it answers and has not announced to leave.", "instance", a.executor.Instance)
-	a.leaveAt = time.Time{}
-}
-
-// silentAfterLeave handles a hold without an answer after the executor is said to have left.
-func (a *Agent) silentAfterLeave() {
-	if a.executor.Draining {
+// noteAnswerAfterLeave handles the outcome of a hold that was sent at the given time, if the
+// executor was said to leave before.
+func (a *Agent) noteAnswerAfterLeave(sent time.Time, err error) {
+	if a.session == nil || a.executor == nil || a.executorLeft || a.leaveAt.IsZero() || sent.Before(a.leaveAt) {
 		return
 	}
-	e := *a.executor
-	e.Draining = true
-	a.updateExecutor(e)
+	a.leaveSilent = err != nil && !errors.Is(err, fleet.ErrFenced)
+	switch {
+	case a.executor.Draining: // it ends soon, or has ended
+	case a.leaveSilent:
+		e := *a.executor
+		e.Draining = true
+		a.updateExecutor(e)
+	default:
+		a.opts.Log.Warn("End of an executor ignored, it answers and has not announced to leave.", "instance", a.executor.Instance)
+		a.leaveAt = time.Time{}
+	}
 }
 
 // handleAnnouncement updates the description of the executor, or has a new instance
 // confirmed.
 func (a *Agent) handleAnnouncement(e fleet.Executor) {
-	if a.executor != nil && a.executor.Instance == e.Instance {
+	if a.executor != nil && a.executor.Instance == e.Instance && !a.executorLeft {
 		a.updateExecutor(e)
 		return
 	}
@@ -216,7 +215,7 @@
 	if a.session != nil {
 		a.session.reported, a.session.crashReported = reportedLists{}, false
 	}
-	a.lease, a.lapsed, a.executorLeft, a.leaveAt, a.ackedEnd, a.lastListedEnd = lease{}, false, false, time.Time{}, 0, 0
+	a.lease, a.lapsed, a.executorLeft, a.leaveAt, a.leaveSilent, a.ackedEnd, a.lastListedEnd = lease{}, false, false, time.Time{}, false, 0, 0
 	a.lease.addReading(clockReading{clock, time.Now()}, a.opts.MaxLease)
 	clear(a.sentReports)
 	a.cancelOrders()
--- a/internal/fleet/side/announcement_test.go
+++ b/internal/fleet/side/announcement_test.go
@@ -226,3 +226,35 @@
 		require.True(t, a.lapsed)
 	})
 }
+
+// Guards against a sound executor whose VM is never used again: a late Leave, or one of
+// another writer, comes while no leader has a session, and the last lease ends before the
+// next one has.
+func TestExecutorSaidToLeaveIsUsedAgainOnceItAnswers(t *testing.T) {
+	x := &instanceOnly{id: "i-1", born: 1000}
+	a := newAnnouncedAgent(t, x)
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	requireInstance(t, a, "i-1@1000")
+	do := func(f func()) {
+		done := make(chan struct{})
+		a.post(context.Background(), func() { f(); close(done) })
+		<-done
+	}
+	a.Leave("i-1", 0)
+	do(func() {
+		a.lease.latest.at = a.lease.latest.at.Add(-time.Minute)
+		a.tick(t.Context())
+		require.True(t, a.lapsed)
+		a.follow(&session{term: 5, outbox: make(chan *pb.Frame, outboxSize), ctx: t.Context(), cancel: func() {}, lastReceived: time.Now()}, "leader")
+	})
+	again := announcementOf("i-1@1000", "i-1", 1000)
+	again.Seq = 2
+	a.Announce(again)
+	require.Eventually(t, func() (used bool) {
+		do(func() {
+			a.tick(t.Context())
+			used = !a.executorLeft && !a.lapsed
+		})
+		return used
+	}, 3*time.Second, 10*time.Millisecond)
+}
