fleet: take a removed registration for no proof that a VM runs nothing

What callers would see: all tasks of a VM run twice after a change of the leader. A new leader settles once it knows the runs of all registered VMs, and a VM at work could lack its registration: the leader deletes that of a VM out of reach, the agent that of an executor that has left, and the store may carry both out after the VM has come back or the next executor has registered; the agent wrote it again only while no leader had a session. And a registration that was removed before the lists of its VM had come counted as known.

Now a leader opens no session to a VM whose registration it deletes before the agent has written it again, and both deletions hold for one revision only, so that writing it again voids them. A removed VM counts in the takeover until its lists have come or its leases have ended. Reports of a session that a removed VM still has are ignored.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -120,8 +120,27 @@
 	}()
 }
 
+// deleteRegistration commits the deletion of a registration until it is carried out or no
+// longer applies.
+func (l *Leader) deleteRegistration(ctx context.Context, name string, txn fleet.Txn) {
+	for ctx.Err() == nil {
+		_, err := l.opts.Store.Commit(ctx, txn)
+		if err == nil {
+			l.opts.Log.Info("VM removed, its agent is out of reach.", "vm", name)
+			return
+		}
+		l.opts.Log.Warn("Registration not removed.", "vm", name, "err", err)
+		if errors.As(err, new(*fleet.ConflictError)) {
+			return
+		}
+		fleet.Sleep(ctx, maintenanceInterval)
+	}
+}
+
 // removeUnreachable deletes the registrations of VMs without runs and without a lease
-// whose agents have been unreachable for removeNodeAfter.
+// whose agents have been unreachable for removeNodeAfter. The leader opens no session to
+// such a VM before its agent has written the registration again, which voids the deletion:
+// a VM that runs tasks has to be registered, or the next leader does not know of it.
 func (l *Leader) removeUnreachable(ctx context.Context, now time.Time) {
 	for name, n := range l.ledger.Nodes {
 		link := l.links[name]
@@ -129,13 +148,11 @@
 			continue
 		}
 		txn := l.txn()
-		txn.Delete = []string{fleet.NodeBase + name}
-		go func() {
-			if _, err := l.opts.Store.Commit(ctx, txn); err != nil {
-				l.opts.Log.Warn("Registration not removed.", "vm", name, "err", err)
-				return
-			}
-			l.opts.Log.Info("VM removed, its agent is out of reach.", "vm", name)
-		}()
+		key := fleet.NodeBase + name
+		txn.If = append(txn.If, fleet.Condition{Key: key, Revision: link.revision})
+		txn.Delete = []string{key}
+		l.removing[name] = link.revision
+		l.applyNode(ctx, name, fleet.Change{Removed: true}, false)
+		go l.deleteRegistration(ctx, name, txn)
 	}
 }
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -118,6 +118,9 @@
 	// reading of the state has shown that their records are gone, with the revision
 	// that deleted them. A job that was created later is another one.
 	forgotten map[string]uint64
+	// removing holds the VMs whose registrations this leader has ordered to be deleted, with
+	// the revisions of these.
+	removing map[string]uint64
 	// exclusiveSince is a store revision from which on no earlier leader orders
 	// starts. 0: not known yet.
 	exclusiveSince uint64
@@ -125,7 +128,7 @@
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
 	l := &Leader{
-		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), verifyNow: make(chan struct{}, 1), heldSince: map[string]time.Time{}, links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
+		opts: o, term: term, lease: lease, events: make(chan event, eventBacklog), pacer: newPacer(), loaded: make(chan struct{}), verifyNow: make(chan struct{}, 1), heldSince: map[string]time.Time{}, removing: map[string]uint64{}, links: map[string]*nodeLink{}, forgotten: map[string]uint64{},
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -215,6 +215,9 @@
 		}
 		return
 	}
+	if c.Revision <= l.removing[name] {
+		return // read before its deletion was carried out
+	}
 	var record link.NodeRecord
 	if err := json.Unmarshal(c.Value, &record); err != nil {
 		l.opts.Log.Error("Cannot decode a registration.", "vm", name, "err", err)
@@ -223,9 +226,11 @@
 	l.ledger.AddNode(name)
 	if known := l.links[name]; known != nil {
 		known.setAddress(record.Address)
+		known.revision = max(known.revision, c.Revision)
 		return
 	}
 	n := newNodeLink(record.Address)
+	n.revision = c.Revision
 	l.links[name] = n
 	if !loading {
 		go n.run(ctx, l, name)
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -30,6 +30,7 @@
 	address atomic.Pointer[string]
 	done    chan struct{}
 
+	revision      uint64 // of the registration
 	connected     bool
 	outbox        chan *pb.Frame
 	cancel        context.CancelFunc // of the session
@@ -125,6 +126,10 @@
 		}
 	}()
 	if !l.post(ctx, func() {
+		if l.links[name] != n { // the VM was removed while the session was opened
+			cancel()
+			return
+		}
 		n.connected, n.outbox, n.cancel, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, nil, time.Time{}
 		l.holdStarts(name, time.Now())
 	}) {
@@ -192,7 +197,7 @@
 // handleReport handles a report of an agent.
 func (l *Leader) handleReport(n *nodeLink, name string, m *pb.NodeReport) {
 	node := l.ledger.Nodes[name]
-	if node == nil || !n.connected {
+	if node == nil || !n.connected || l.links[name] != n {
 		return
 	}
 	report, err := link.ReadReport(m)
--- a/internal/fleet/lead/nodes_test.go
+++ b/internal/fleet/lead/nodes_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/wire"
 )
 
@@ -59,3 +61,28 @@
 	l.handleDisconnect(earlier, "vm", nil)
 	require.True(t, node.Listed)
 }
+
+// Guards against tasks on a VM that the next leader does not know of: its registration is
+// deleted late, after the VM has come back.
+func TestVMOfADeletedRegistrationIsNotUsedUntilItIsWrittenAgain(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	put := func() fleet.Item {
+		_, err := l.opts.Store.Commit(t.Context(), fleet.Txn{Put: []fleet.Write{{Key: fleet.NodeBase + "vm", Value: []byte(`{"address":"127.0.0.1:1"}`)}}})
+		require.NoError(t, err)
+		item, err := l.opts.Store.Get(t.Context(), fleet.NodeBase+"vm")
+		require.NoError(t, err)
+		return item
+	}
+	first := put()
+	l.applyNode(t.Context(), "vm", fleet.Change{Item: first}, true)
+	l.ledger.Nodes["vm"].LeaseUntil = l.began
+	l.ledger.Settled = true
+	ended, cancel := context.WithCancel(t.Context())
+	cancel() // the deletion has no answer
+	l.removeUnreachable(ended, time.Now().Add(2*removeNodeAfter))
+	require.Nil(t, l.links["vm"])
+	l.applyNode(t.Context(), "vm", fleet.Change{Item: first}, true)
+	require.Nil(t, l.links["vm"], "read before the deletion was carried out")
+	l.applyNode(t.Context(), "vm", fleet.Change{Item: put()}, true)
+	require.NotNil(t, l.links["vm"])
+}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -51,16 +51,17 @@
 	return n
 }
 
-// RemoveNode removes a node whose agent has gone. If it has runs, they and the node
-// stay until the lease has expired.
+// RemoveNode removes a node whose registration has gone. If it has runs, or may have runs
+// of earlier terms, it stays until the lease has expired.
 func (l *Ledger) RemoveNode(name string) {
 	n := l.Nodes[name]
 	if n == nil {
 		return
 	}
 	l.Disconnected(n)
+	known := l.Settled || n.complete || n.lapsed
 	n.removed = true
-	if len(n.Runs) == 0 {
+	if len(n.Runs) == 0 && known {
 		delete(l.Nodes, name)
 	}
 }
@@ -168,7 +169,7 @@
 		if awaited && expired {
 			l.expireLease(n, p, now)
 		}
-		if n.removed && len(n.Runs) == 0 {
+		if n.removed && len(n.Runs) == 0 && (expired || l.Settled) {
 			delete(l.Nodes, n.Name)
 		}
 		known := n.complete || n.lapsed
--- a/internal/fleet/side/register.go
+++ b/internal/fleet/side/register.go
@@ -1,7 +1,6 @@
 package side
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,7 +37,7 @@
 		switch {
 		case wanted && (!r.written || !following && time.Since(r.checkedAt) > registrationRenewInterval):
 			ok = a.writeRegistration(ctx, &r)
-		case !wanted && r.written:
+		case !wanted && r.mayExist:
 			ok = a.removeRegistration(ctx, &r)
 		}
 		if !ok {
@@ -54,6 +53,7 @@
 	value     []byte
 	revision  uint64 // of the stored record, which the next write replaces; 0: none
 	written   bool   // the store holds value
+	mayExist  bool   // the store may hold a record of this process
 	checkedAt time.Time
 }
 
@@ -74,30 +74,38 @@
 }
 
 // writeRegistration writes the record and reports whether the store holds it. On a
-// conflict it takes over the stored revision for the next try.
+// conflict it replaces the stored record, also one with the same value: the new revision
+// voids a deletion of an earlier process that may be carried out late.
 func (a *Agent) writeRegistration(ctx context.Context, r *registration) bool {
-	revision, err := a.opts.Store.Commit(ctx, fleet.Txn{
-		If: []fleet.Condition{{Key: r.key, Revision: r.revision}}, Put: []fleet.Write{{Key: r.key, Value: r.value}},
-	})
-	var conflict *fleet.ConflictError
-	switch {
-	case err == nil:
-		r.revision, r.written, r.checkedAt = revision, true, time.Now()
-		a.opts.Log.Info("Registered.", "address", a.opts.Advertise)
-		return true
-	case errors.As(err, &conflict) && len(conflict.Current) > 0:
-		r.revision = conflict.Current[0].Revision
-		r.written, r.checkedAt = bytes.Equal(conflict.Current[0].Value, r.value), time.Now()
-		return r.written
-	case errors.As(err, &conflict):
+	const tries = 2
+	for range tries {
+		revision, err := a.opts.Store.Commit(ctx, fleet.Txn{
+			If: []fleet.Condition{{Key: r.key, Revision: r.revision}}, Put: []fleet.Write{{Key: r.key, Value: r.value}},
+		})
+		if err == nil {
+			r.revision, r.written, r.mayExist, r.checkedAt = revision, true, true, time.Now()
+			a.opts.Log.Info("Registered.", "address", a.opts.Advertise)
+			return true
+		}
+		r.mayExist = true
+		var conflict *fleet.ConflictError
+		if !errors.As(err, &conflict) {
+			return false
+		}
 		r.revision = 0
+		if len(conflict.Current) > 0 {
+			r.revision = conflict.Current[0].Revision
+		}
 	}
 	return false
 }
 
 // removeRegistration deletes the record. A conflict counts as success: the record
-// has been changed or deleted by someone else.
+// has been changed or deleted by someone else. A deletion without an answer may be carried
+// out late, so the record counts as not written from the call on: writing it again for the
+// next executor changes the revision, which voids the deletion.
 func (a *Agent) removeRegistration(ctx context.Context, r *registration) bool {
+	r.written = false
 	_, err := a.opts.Store.Commit(ctx, fleet.Txn{
 		If: []fleet.Condition{{Key: r.key, Revision: r.revision}}, Delete: []string{r.key},
 	})
@@ -105,6 +113,6 @@
 		return false
 	}
 	a.opts.Log.Info("Registration removed, the executor has left.")
-	r.written, r.revision = false, 0
+	r.mayExist, r.revision = false, 0
 	return true
 }
