ledger: log by which VMs a takeover has settled

The line "settled" named its duration only; it could not tell a takeover that knows all VMs from one that counts on expired leases (hypotheses 1 and 2 of docs/incidents/task-twice-across-a-cut.md). It now has the number of VMs and the names of those without lists. The leader asks for no early confirmation of its term after a call without an answer: calls that the store refuses at once would follow each other ten times a second.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -275,9 +275,13 @@
 		sent := time.Now()
 		item, err := l.opts.Store.Get(ctx, fleet.LeaderKey)
 		l.post(ctx, func() { l.handleVerify(sent, item, err) })
+		soon := l.verifyNow
+		if err != nil { // calls that are refused at once would follow each other
+			soon = nil
+		}
 		fleet.Sleep(ctx, minVerifyInterval)
 		select {
-		case <-l.verifyNow:
+		case <-soon:
 		case <-time.After(time.Until(renewed.Add(verifyInterval))):
 		case <-ctx.Done():
 		}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -58,8 +59,8 @@
 	if n == nil {
 		return
 	}
-	l.Disconnected(n)
 	known := l.Settled || n.complete || n.lapsed
+	l.Disconnected(n)
 	n.removed = true
 	if len(n.Runs) == 0 && known {
 		delete(l.Nodes, name)
@@ -178,11 +179,25 @@
 	}
 	if settled && !l.Settled {
 		l.Settled = true
-		l.log(Event{What: "settled", Reason: now.Sub(l.takeover).String()})
+		l.log(Event{What: "settled", Reason: l.settledBy(now)})
 	}
 	return unproven
 }
 
+// settledBy describes by what the takeover has settled: its duration, and the nodes of which
+// no lists have come.
+func (l *Ledger) settledBy(now time.Time) string {
+	var silent []string
+	for name, n := range l.Nodes {
+		if !n.complete {
+			silent = append(silent, name)
+		}
+	}
+	slices.Sort(silent)
+	const most = 8 // keeps the line short
+	return fmt.Sprintf("after %v, %d VMs, by expired leases %d %v", now.Sub(l.takeover).Round(time.Millisecond), len(l.Nodes), len(silent), silent[:min(most, len(silent))])
+}
+
 // applyLists applies the lists of an executor. Partial ones prove no run absent.
 func (l *Ledger) applyLists(n *Node, r Report, now time.Time) {
 	first := !n.Listed
