ledger: put a crash while a suspect starts down to the suspect

Callers saw jobs fail none of whose tasks crashes anything. A task that has been cleared keeps its count of crashes for 10 s, and each crash of an executor on which it runs in this time added one, also if a suspect was starting there. After three such crashes beside its first one the job was given up.

Now such a crash does not count for runs that have been listed for 0.5 s. Younger ones still count, as tasks may crash executors 30 to 330 ms after their start (soak). Suspects start apart from runs that are younger, and a VM takes no other task until one that the next crash would give up has been listed for 0.5 s.

Not covered: a task that crashes its executors later than 0.5 s after its starts is not counted for those crashes at which a suspect happens to start beside it. Crashes that an agent reports to a later leader count for all runs, as before.

--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -27,6 +27,9 @@
 	maxSoleCrashes = 3
 	maxCrashes     = 4
 	harmlessAfter  = 10 * time.Second
+	// steadyAfter is how long a run has to be listed until a crash while a suspect starts
+	// beside it is put down to the suspect alone.
+	steadyAfter = 500 * time.Millisecond
 )
 
 // crashes counts crashes of executors that may be due to a task.
@@ -56,22 +59,30 @@
 	return c.Near >= maxCrashes || c.Sole >= maxSoleCrashes
 }
 
-// StartingRuns returns the number of runs of which it is not known that the executor
-// has survived their start.
+// StartingRuns returns the number of runs for which a crash would count although a suspect
+// starts beside them.
 func (n *Node) StartingRuns() int {
 	starting := 0
 	for _, r := range n.Runs {
-		if !r.survived {
+		if !r.steady() {
 			starting++
 		}
 	}
 	return starting
 }
 
-// Probation reports whether a suspected task is starting on the node.
+// steady reports whether a crash while a suspect starts beside the run is put down to the
+// suspect alone.
+func (r *Run) steady() bool { return r.survived && r.Node.ListedAt.Sub(r.confirmedAt) >= steadyAfter }
+
+// Probation reports whether a suspected task is starting on the node, or one that the next
+// crash gives up.
 func (n *Node) Probation() bool {
 	for _, r := range n.Runs {
-		if r.Task != nil && r.Task.Suspect() && r.State != Stopping {
+		if r.Task == nil || r.State == Stopping {
+			continue
+		}
+		if r.Task.Suspect() || r.Task.crashes.Near >= maxCrashes-1 && !r.steady() {
 			return true
 		}
 	}
@@ -134,11 +145,14 @@
 		return
 	}
 	n.countedCrash = true
+	known := slices.ContainsFunc(starting, func(r *Run) bool { return r.Task != nil && r.Task.Suspect() })
 	for _, r := range starting {
 		l.countCrashAtStart(r.Task, r.Number, n, len(starting), now)
 	}
 	for _, r := range late {
-		l.countCrashLater(r.Task, r.Number, n, now)
+		if !known || !r.steady() {
+			l.countCrashLater(r.Task, r.Number, n, now)
+		}
 	}
 }
 
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -396,3 +396,43 @@
 	next.ledger.Report(next.node("a"), report, next.now)
 	require.Equal(t, 2, task.crashes.All, "this leader has seen the crash itself")
 }
+
+// Guards against jobs that fail because suspects crash executors on which their tasks run,
+// and against tasks that are not given up as they crash executors shortly after their
+// starts, beside suspects.
+func TestCrashWhileASuspectStartsDoesNotCountForSteadyRuns(t *testing.T) {
+	for _, c := range []struct {
+		listed time.Duration
+		counts int
+	}{{survivedAfter, 1}, {steadyAfter - time.Millisecond, 1}, {steadyAfter, 0}} {
+		w := newFixture(t, "a")
+		w.listInstance("a", 1, nil)
+		w.add("beside", false, one())
+		w.run("a", 1, c.listed)
+		beside := w.node("a").Runs[taskOf("beside")].Task
+		suspect := w.add("suspect", false, one()).Occurrences[0].Steps[0].Tasks[0]
+		suspect.crashes = crashes{All: 1, Near: 1}
+		w.ledger.Start(suspect, w.node("a"), "", w.now)
+		w.node("a").TakeOrders()
+		w.crash("a", 2)
+		require.Equal(t, c.counts, beside.crashes.Near, "listed for %v", c.listed)
+		require.Equal(t, crashes{All: 2, Sole: 1, Near: 2, Run: 1}, suspect.crashes)
+	}
+}
+
+// Guards against a job that fails because a suspect starts beside its task, which the next
+// crash would give up, as soon as an executor has survived the start of the task.
+func TestTaskThatTheNextCrashGivesUpStartsApartUntilItIsSteady(t *testing.T) {
+	w := newFixture(t, "a")
+	w.listInstance("a", 1, nil)
+	task := w.add("job", false, one()).Occurrences[0].Steps[0].Tasks[0]
+	task.crashes = crashes{All: maxCrashes - 1, Near: maxCrashes - 1}
+	w.run("a", 1, survivedAfter)
+	require.False(t, task.Suspect())
+	require.True(t, w.node("a").Probation())
+	require.Equal(t, 1, w.node("a").StartingRuns())
+	w.now = w.now.Add(steadyAfter - survivedAfter)
+	w.listInstance("a", 1, []fleet.Running{{Task: task.ID, Run: task.LastRun}})
+	require.False(t, w.node("a").Probation())
+	require.Zero(t, w.node("a").StartingRuns())
+}
