lead: start suspects of crashes in groups that grow while executors survive

Such suspects started four at a time on a quarter of the VMs, alone after a second crash, and each group takes 0.1 to 0.5 s until lists show that the executor has survived. 300 suspects on 11 VMs take 38 such rounds.

Package probation now sizes the groups by how earlier ones have ended: 4 to 16 suspects of one crash, doubled while executors survive and halved after a crash, and 1 to 4 of two crashes; a task of three starts alone, so that no other shares its fourth. The kinds take turns, and hundreds of suspects may use half of the VMs.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -8,6 +8,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/place"
+	"vanillalock.example/vanillalock/internal/fleet/probation"
 	"vanillalock.example/vanillalock/internal/fleet/queue"
 	"vanillalock.example/vanillalock/internal/fleet/tail"
 )
@@ -62,6 +63,8 @@
 	orderedSpecs   map[specKey]struct{} // ordered by the current plan
 	lastPreemption time.Time            // last preemption
 	lastMark       time.Time            // last selection of the VMs kept for filling tasks
+	sizes          probation.Groups     // of the groups in which suspects start
+	suspectGroups  []startedGroup       // whose end is not known
 }
 
 // newPlanner returns a planner of the tasks of a ledger. The functions are those of the
--- a/internal/fleet/ledger/crash.go
+++ b/internal/fleet/ledger/crash.go
@@ -50,9 +50,12 @@
 // has survived a start of it since.
 func (t *Task) Suspect() bool { return t.crashes.All > 0 }
 
+// Crashes returns how many crashes in a row count for the task.
+func (t *Task) Crashes() int { return max(t.crashes.All, t.crashes.Near) }
+
 // StartsAlone reports whether several executors have crashed at the start of the task,
-// so that it starts apart from other suspects.
-func (t *Task) StartsAlone() bool { return t.crashes.All > 1 }
+// so that it starts apart from suspects of one crash.
+func (t *Task) StartsAlone() bool { return t.Suspect() && t.Crashes() > 1 }
 
 // atLimit reports whether the task is to be given up.
 func (c crashes) atLimit() bool {
