--- /dev/null
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -0,0 +1,740 @@
+package ledger
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+)
+
+// The model of several leaders plays the rules of packages lead and side by which terms are
+// confirmed, leases granted and runs reported, with leaders that are cut off from the store,
+// agents and executors that are started anew, reports and orders that stay on their way, and
+// calls that an executor carries out late. Clocks run at the same rate.
+
+// Times as in packages lead and side.
+const (
+	termsStartGrace  = 5 * time.Second
+	termsGrantGrace  = 10 * time.Second
+	termsLease       = 4 * time.Second
+	termsLeaseMargin = 150 * time.Millisecond
+	termsHoldMax     = 10 * time.Second // longest lease that an executor accepts
+	termsExpiry      = 100 * time.Millisecond
+	termsInherit     = 10 * time.Second
+	termsListedEnds  = 2 // ends that an executor lists at a time
+	termsLeaders     = 3 // at a time
+	termsJobs        = 3
+	termsCalls       = 30  // in flight at a time
+	termsCycles      = 150 // within which everything is done once all faults have ended
+	termsCycle       = 150 * time.Millisecond
+)
+
+// Faults that were mended, to be switched on by hand.
+const (
+	faultLeaveProves         = false // Leave counted as the end of the executor
+	faultAnnouncementReplace = false // any announcement replaced the executor
+	faultAgentForgetsCalls   = false // refusals after an earlier session counted as such
+)
+
+var traceTerms = flag.Bool("model-trace", false, "print the events of a model that fails")
+
+func (m *termsModel) tracef(format string, args ...any) {
+	if *traceTerms {
+		m.t.Logf("%v "+format, append([]any{m.now.Sub(start)}, args...)...)
+	}
+}
+
+func termsLongest(ttl time.Duration) time.Duration {
+	return time.Duration(float64(ttl)/fleet.ClockRate) + termsLeaseMargin
+}
+
+// termsLeader is a leader. Its term ends for the others with the next election.
+type termsLeader struct {
+	term      int
+	ledger    *Ledger
+	began     time.Time
+	confirmed time.Time // send time of the latest call that confirmed the term
+	maxLease  time.Duration
+	cut       bool      // from the store
+	asked     time.Time // send time of a call whose answer is on its way; zero: none
+	askedOK   bool
+	sessions  map[string]*termsSession
+	held      map[string]time.Time
+}
+
+// termsSession is a session of a leader with an agent.
+type termsSession struct {
+	leader  *termsLeader
+	began   time.Time
+	first   bool          // of the process of the agent
+	left    bool          // the agent has ended it
+	reports []termsReport // on their way to the leader
+	frames  []termsFrame  // on their way to the agent
+	answer  *termsReport  // latest report to be answered by a lease
+}
+
+type termsReport struct {
+	Report
+	clock time.Duration // of the executor, when the report was sent
+	life  int           // of the agent's knowledge of leases
+}
+
+type termsFrame struct {
+	Orders
+	ttl    time.Duration
+	answer termsReport
+}
+
+// termsAgent follows the rules of package side.
+type termsAgent struct {
+	x          *modelExecutor
+	known      bool      // the instance x.agentInstance was confirmed
+	foreign    bool      // an announcement of another writer has replaced it
+	born       time.Time // start of the known instance
+	term       int
+	session    *termsSession
+	unanswered map[RunRef]bool
+	deadline   time.Duration
+	longest    time.Duration // no lease ends later
+	life       int           // reports of earlier lives are answered by no lease
+	lapsed     bool
+	uncertain  bool // another instance may answer
+	acked      uint64
+	leaveSaid  bool
+	draining   bool
+	gone       bool
+}
+
+type termsModel struct {
+	*modelVMs
+	agents  []*termsAgent
+	leaders []*termsLeader // the last one has the highest term
+	jobs    []fleet.Job
+	stored  map[string][]byte
+	calm    bool // no faults any more
+}
+
+func newTermsModel(t *rapid.T, vms int) *termsModel {
+	m := &termsModel{modelVMs: newModelVMs(t, vms), stored: map[string][]byte{}, jobs: []fleet.Job{modelJob("job")}}
+	for _, x := range m.executors {
+		m.agents = append(m.agents, &termsAgent{x: x, unanswered: map[RunRef]bool{}})
+	}
+	m.elect(termsLongest(termsGrantGrace))
+	return m
+}
+
+// elect begins a term, whose leader knows only what is stored.
+func (m *termsModel) elect(maxLease time.Duration) {
+	l := &termsLeader{term: 1, began: m.now, confirmed: m.now, maxLease: maxLease, sessions: map[string]*termsSession{}, held: map[string]time.Time{}}
+	if n := len(m.leaders); n > 0 {
+		l.term = m.leaders[n-1].term + 1
+	}
+	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
+		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
+	}})
+	m.tracef("term %d begins", l.term)
+	for _, x := range m.executors {
+		l.ledger.AddNode(x.name)
+	}
+	for _, job := range m.jobs {
+		l.ledger.AddJob(job, true, m.now)
+		if value, ok := m.stored[job.ID]; ok {
+			require.NoError(m.t, l.ledger.Restore(job.ID, value, 1, m.now))
+		}
+	}
+	m.leaders = append(m.leaders, l)
+	if len(m.leaders) > termsLeaders {
+		m.endTerm(m.leaders[0])
+	}
+}
+
+// electBeside elects a leader while the one before goes on, mostly cut off.
+func (m *termsModel) electBeside() {
+	last := m.latest()
+	last.cut = rapid.IntRange(0, 3).Draw(m.t, "cut") > 0
+	m.elect(termsLongest(termsGrantGrace))
+}
+
+// handOver ends the latest term with a record for the next one.
+func (m *termsModel) handOver() {
+	last := m.latest()
+	if last.cut {
+		return
+	}
+	left := min(termsLongest(termsGrantGrace), max(termsLongest(termsLease), last.maxLease-m.now.Sub(last.began)))
+	m.elect(left)
+	m.endTerm(last)
+}
+
+func (m *termsModel) latest() *termsLeader { return m.leaders[len(m.leaders)-1] }
+
+func (m *termsModel) endTerm(l *termsLeader) {
+	if l == m.latest() {
+		return // another one is elected first
+	}
+	m.tracef("term %d ends", l.term)
+	m.leaders = slices.DeleteFunc(m.leaders, func(o *termsLeader) bool { return o == l })
+	for _, a := range m.agents {
+		if a.session != nil && a.session.leader == l {
+			a.loseSession()
+		}
+	}
+}
+
+func (m *termsModel) leader() *termsLeader {
+	return m.leaders[rapid.IntRange(0, len(m.leaders)-1).Draw(m.t, "leader")]
+}
+
+func (m *termsModel) agent() *termsAgent {
+	return m.agents[rapid.IntRange(0, len(m.agents)-1).Draw(m.t, "agent")]
+}
+
+// ask sends a call that confirms the term; answer handles the response.
+func (m *termsModel) ask(l *termsLeader) {
+	if !l.cut && l.asked.IsZero() {
+		l.asked, l.askedOK = m.now, l == m.latest()
+	}
+}
+
+func (m *termsModel) answer(l *termsLeader) {
+	if l.asked.IsZero() {
+		return
+	}
+	sent := l.asked
+	l.asked = time.Time{}
+	if !l.askedOK {
+		m.endTerm(l)
+		return
+	}
+	if !sent.After(l.confirmed) {
+		return
+	}
+	l.confirmed = sent
+	m.tracef("term %d confirmed as of %v", l.term, sent.Sub(start))
+	for name, began := range l.held {
+		if sent.After(began) {
+			delete(l.held, name)
+			l.ledger.ReleaseStarts(l.ledger.Nodes[name])
+		}
+	}
+}
+
+// dial opens a session, in which the agent follows the leader unless it knows a higher term.
+func (m *termsModel) dial(l *termsLeader, a *termsAgent) {
+	name := a.x.name
+	if old := l.sessions[name]; old != nil {
+		m.notice(l, a)
+		if l.sessions[name] != nil {
+			return
+		}
+	}
+	if l.term < a.term {
+		m.endTerm(l) // the agent says so
+		return
+	}
+	m.tracef("%s follows term %d", name, l.term)
+	s := &termsSession{leader: l, began: m.now, first: a.term == 0}
+	l.sessions[name] = s
+	l.ledger.HoldStarts(l.ledger.Nodes[name])
+	l.held[name] = m.now
+	if a.session != nil {
+		a.loseSession()
+	}
+	if l.term > a.term {
+		clear(a.unanswered)
+	}
+	a.term, a.session = l.term, s
+	a.life++
+	m.report(a, Report{})
+}
+
+// notice makes a leader notice that an agent has ended the session.
+func (m *termsModel) notice(l *termsLeader, a *termsAgent) {
+	if s := l.sessions[a.x.name]; s != nil && s.left {
+		delete(l.sessions, a.x.name)
+		l.ledger.Disconnected(l.ledger.Nodes[a.x.name])
+	}
+}
+
+func (a *termsAgent) loseSession() {
+	a.session.left, a.session.frames = true, nil
+	a.session = nil
+	a.cancelOrders()
+}
+
+func (a *termsAgent) cancelOrders() {
+	for i := range a.x.inFlight {
+		a.x.inFlight[i].repeat = false
+	}
+}
+
+// restartAgent starts the process of an agent anew. Its calls may still be carried out.
+func (m *termsModel) restartAgent(a *termsAgent) {
+	if a.session != nil {
+		a.loseSession()
+	}
+	a.cancelOrders()
+	m.tracef("agent of %s starts anew", a.x.name)
+	*a = termsAgent{x: a.x, unanswered: map[RunRef]bool{}, life: a.life + 1}
+}
+
+// adopt confirms the announced instance and makes it the known one. A restarted agent cannot
+// before a leader has told it the term.
+func (m *termsModel) adopt(a *termsAgent) {
+	x := a.x
+	if a.known && !a.foreign && x.agentInstance == x.instanceNumber || a.term < x.fence {
+		return
+	}
+	x.fence = a.term
+	m.tracef("%s adopted", x.instance())
+	a.cancelOrders()
+	x.agentInstance = x.instanceNumber
+	a.known, a.foreign, a.born = true, false, x.born
+	a.deadline, a.longest, a.lapsed, a.uncertain, a.acked = 0, m.now.Sub(x.born)+termsHoldMax, false, false, 0
+	a.leaveSaid, a.gone, a.draining = false, false, false
+	a.life++
+}
+
+// drain handles an announcement of the executor that it will end.
+func (m *termsModel) drain(a *termsAgent) {
+	if a.known && !a.foreign && !a.draining && a.x.agentInstance == a.x.instanceNumber {
+		m.tracef("%s drains", a.x.instance())
+		a.draining = true
+		m.report(a, Report{})
+	}
+}
+
+// foreignAnnouncement handles an announcement of another writer. Nothing answers under its ID.
+func (m *termsModel) foreignAnnouncement(a *termsAgent) {
+	if faultAnnouncementReplace && a.known {
+		a.foreign = true
+		a.cancelOrders()
+		m.report(a, Report{})
+	}
+}
+
+// leave handles a call of Leave that the executor has not sent, or that is late.
+func (m *termsModel) leave(a *termsAgent) {
+	if !a.known {
+		return
+	}
+	if faultLeaveProves {
+		a.gone, a.lapsed, a.draining = true, true, true
+		a.cancelOrders()
+		m.report(a, Report{})
+		return
+	}
+	a.leaveSaid = true
+}
+
+func (m *termsModel) report(a *termsAgent, r Report) {
+	if a.session == nil {
+		return
+	}
+	if a.known {
+		r.Executor = &fleet.Executor{Instance: a.x.instanceOfAgent(), Pool: "pool", Draining: a.draining}
+		if a.foreign {
+			r.Executor.Instance = a.x.name + "@foreign"
+		}
+		r.Lapsed = a.lapsed
+	}
+	a.session.reports = append(a.session.reports, termsReport{r, m.now.Sub(a.born), a.life})
+}
+
+// extend extends the lease of an executor to a time on its clock.
+func (m *termsModel) extend(x *modelExecutor, clock time.Duration) {
+	if until := x.born.Add(clock); clock > 0 && until.After(x.deadline) {
+		if limit := m.now.Add(termsHoldMax); until.After(limit) {
+			until = limit
+		}
+		if until.After(x.deadline) {
+			x.deadline = until
+		}
+	}
+}
+
+// hold has the executor list its runs, extends its lease, acknowledges ends and reports.
+func (m *termsModel) hold(a *termsAgent) {
+	x := a.x
+	if !a.known || a.foreign || a.gone || a.session == nil || a.term < x.fence {
+		return
+	}
+	x.fence = a.term
+	if x.agentInstance != x.instanceNumber {
+		if termsHoldReachesNext && !a.uncertain {
+			m.extend(x, a.deadline)
+		}
+		a.uncertain = true
+		return
+	}
+	if !a.uncertain {
+		m.extend(x, a.deadline)
+		m.acknowledge(x, a.acked)
+	}
+	a.uncertain, a.lapsed = false, false
+	m.tracef("%s lists running %v ended %v, lease until %v", x.instance(), x.running, x.ended, x.deadline.Sub(start))
+	if !a.draining {
+		a.leaveSaid = false
+	}
+	var running []fleet.Running
+	for _, id := range sortedTasks(x.running) {
+		running = append(running, fleet.Running{Task: id, Run: x.running[id]})
+	}
+	ended := slices.Clone(x.ended[:min(len(x.ended), termsListedEnds)])
+	m.report(a, Report{Listed: true, Partial: len(x.ended) >= termsListedEnds, Running: running, Ended: ended, Results: a.answerListed(running, ended)})
+}
+
+// answerListed ends the start orders whose runs are listed.
+func (a *termsAgent) answerListed(running []fleet.Running, ended []fleet.End) []Result {
+	listed := map[RunRef]bool{}
+	for _, r := range running {
+		listed[RunRef{r.Task, r.Run}] = true
+	}
+	for _, e := range ended {
+		listed[RunRef{e.Task, e.Run}] = true
+	}
+	var results []Result
+	for i, o := range a.x.inFlight {
+		ref := RunRef{o.start.Task, o.start.Run}
+		if o.repeat && !o.stop && listed[ref] {
+			a.x.inFlight[i].repeat = false
+			results = append(results, Result{Task: ref.Task, Run: ref.Run, Result: fleet.OrderDone})
+		}
+	}
+	maps.DeleteFunc(a.unanswered, func(ref RunRef, _ bool) bool { return listed[ref] })
+	return results
+}
+
+// lapse lets the agent find that every lease of the known instance has ended.
+func (m *termsModel) lapse(a *termsAgent) {
+	if !a.known || a.lapsed || !m.now.Add(-termsExpiry).After(a.born.Add(a.longest)) {
+		return
+	}
+	a.lapsed = true
+	m.tracef("lease of %s ended by its agent", a.x.instanceOfAgent())
+	a.life++
+	a.cancelOrders()
+	if a.leaveSaid {
+		a.gone = true
+	}
+	m.report(a, Report{})
+}
+
+// receive makes the agent carry out the orders of a frame.
+func (m *termsModel) receive(a *termsAgent) {
+	if a.session == nil || len(a.session.frames) == 0 {
+		return
+	}
+	s := a.session
+	f := s.frames[0]
+	s.frames = s.frames[1:]
+	if !a.known || a.foreign || f.Instance != a.x.instanceOfAgent() {
+		return
+	}
+	if f.ttl > 0 && f.answer.life == a.life {
+		a.deadline = max(a.deadline, f.answer.clock+f.ttl)
+		a.longest = max(a.longest, a.deadline)
+	}
+	a.acked = max(a.acked, f.Stored)
+	for _, r := range f.Stops {
+		m.order(a, modelOrder{stop: true, start: fleet.StartOrder{Task: r.Task, Run: r.Run}})
+	}
+	for _, r := range f.Starts {
+		ref := RunRef{r.Task, r.Run}
+		if slices.ContainsFunc(a.x.inFlight, func(o modelOrder) bool { return o.repeat && !o.stop && o.start.Task == r.Task && o.start.Run == r.Run }) {
+			continue
+		}
+		uncertain := !faultAgentForgetsCalls && (a.unanswered[ref] || s.first && m.now.Sub(s.began) < termsInherit)
+		a.unanswered[ref] = true
+		m.order(a, modelOrder{start: r, lease: a.deadline, uncertain: uncertain})
+	}
+}
+
+// order begins an order and cancels an earlier one for the run.
+func (m *termsModel) order(a *termsAgent, o modelOrder) {
+	for i, earlier := range a.x.inFlight {
+		if earlier.start.Task == o.start.Task && earlier.start.Run == o.start.Run {
+			a.x.inFlight[i].repeat = false
+		}
+	}
+	o.term, o.instance, o.repeat = a.term, a.x.instanceOfAgent(), true
+	a.x.inFlight = append(a.x.inFlight, o)
+}
+
+// arrive carries out a call in flight; its answer may be lost.
+func (m *termsModel) arrive(a *termsAgent) {
+	x := a.x
+	if len(x.inFlight) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(x.inFlight)-1).Draw(m.t, "order")
+	o := x.inFlight[i]
+	if o.repeat && o.uncertain && a.uncertain {
+		return // a hold comes first
+	}
+	answered, late, refused := true, false, false
+	if !m.calm {
+		answered = rapid.Bool().Draw(m.t, "answered")
+		late = rapid.Bool().Draw(m.t, "late")
+		refused = rapid.IntRange(0, 9).Draw(m.t, "refused") == 0
+	}
+	if o.repeat && !o.stop && a.draining { // the agent refuses without a call
+		answered, refused = true, true
+	}
+	if !o.repeat || answered {
+		x.inFlight = slices.Delete(x.inFlight, i, i+1)
+	} else {
+		x.inFlight[i].uncertain = true
+		a.uncertain = true
+		if late && len(x.inFlight) < termsCalls {
+			o.repeat = false
+			x.inFlight = append(x.inFlight, o) // this call is carried out later
+			return
+		}
+	}
+	result := fleet.OrderBusy
+	if !refused || o.stop {
+		result = m.call(x, o)
+	}
+	if !o.repeat || !answered {
+		return
+	}
+	conclusive := result == fleet.OrderDone || result == fleet.OrderFenced || result == fleet.OrderGone
+	if !o.stop && o.uncertain && !conclusive {
+		o.stop, o.revoke = true, true
+		x.inFlight = append(x.inFlight, o)
+		return
+	}
+	if o.revoke {
+		o.stop, result = false, fleet.OrderRevoked
+	}
+	delete(a.unanswered, RunRef{o.start.Task, o.start.Run})
+	m.report(a, Report{Results: []Result{{Task: o.start.Task, Run: o.start.Run, Stop: o.stop, Result: result}}})
+}
+
+// call carries out a call. One that receives old or room extends the lease, too.
+func (m *termsModel) call(x *modelExecutor, o modelOrder) fleet.OrderResult {
+	o.deadline = x.born.Add(o.lease)
+	if limit := m.now.Add(termsHoldMax); o.deadline.After(limit) {
+		o.deadline = limit
+	}
+	if o.instance != x.instance() && !termsCallReachesNext {
+		return fleet.OrderGone
+	}
+	result := m.carryOut(x, o, o.repeat)
+	m.tracef("%s: call of term %d for %s to %s run %d, stop %v, lease until %v: %v", x.instance(), o.term, o.instance, o.start.Task, o.start.Run, o.stop, o.deadline.Sub(start), result)
+	if !o.stop && result != fleet.OrderFenced && result != fleet.OrderGone && result != fleet.OrderLate {
+		m.extend(x, o.lease)
+	}
+	return result
+}
+
+// Calls for an instance that another one under the same ID receives: the first call after
+// its start, with a deadline by the clock of the instance before.
+const (
+	termsCallReachesNext = true
+	termsHoldReachesNext = true
+)
+
+// read has a leader read a report.
+func (m *termsModel) read(l *termsLeader, a *termsAgent) {
+	s := l.sessions[a.x.name]
+	if s == nil || len(s.reports) == 0 {
+		return
+	}
+	r := s.reports[0]
+	s.reports = s.reports[1:]
+	m.tracef("term %d reads of %s: listed %v lapsed %v running %v ended %v results %v", l.term, a.x.name, r.Listed, r.Lapsed, r.Running, r.Ended, r.Results)
+	l.ledger.Report(l.ledger.Nodes[a.x.name], r.Report, m.now)
+	if r.Listed {
+		s.answer = &r
+	}
+}
+
+// dispatch places ready tasks and sends orders and leases.
+func (m *termsModel) dispatch(l *termsLeader) {
+	if l.ledger.Tick(m.now, l.confirmed); m.now.Sub(l.confirmed) > termsGrantGrace {
+		m.endTerm(l)
+		return
+	}
+	if m.now.Sub(l.confirmed) < termsStartGrace {
+		for _, task := range l.ledger.Ready(m.now) {
+			if n := l.ledger.Nodes[m.pick().name]; n.MayStart() && !n.Executor.Draining && n.Runs[task.ID] == nil {
+				l.ledger.Start(task, n, "", m.now)
+			}
+		}
+	}
+	for _, x := range m.executors {
+		s, n := l.sessions[x.name], l.ledger.Nodes[x.name]
+		if s == nil || !n.Listed {
+			continue
+		}
+		f := termsFrame{}
+		f.Orders, _ = n.TakeOrders()
+		if s.answer != nil {
+			left := time.Duration(float64(termsGrantGrace-m.now.Sub(l.confirmed)) * fleet.ClockRate)
+			if f.ttl = min(termsLease, left); f.ttl > 0 {
+				f.answer = *s.answer
+				if until := m.now.Add(termsLongest(f.ttl)); until.After(n.LeaseUntil) {
+					n.LeaseUntil = until
+				}
+			}
+			s.answer = nil
+		}
+		if !s.left {
+			s.frames = append(s.frames, f)
+		}
+	}
+}
+
+// store stores all progress, on the condition that the term lasts.
+func (m *termsModel) store(l *termsLeader) {
+	if l.cut {
+		return
+	}
+	records, err := l.ledger.Dirty(10)
+	require.NoError(m.t, err)
+	if l != m.latest() {
+		l.ledger.NotStored(records)
+		return
+	}
+	for _, r := range records {
+		m.stored[r.Job] = r.Value
+	}
+	l.ledger.Stored(records, 1)
+}
+
+// accept accepts a job.
+func (m *termsModel) accept(l *termsLeader) {
+	if l.cut || l != m.latest() || len(m.jobs) == termsJobs {
+		return
+	}
+	job := modelJob("job" + string(rune('0'+len(m.jobs))))
+	m.jobs = append(m.jobs, job)
+	l.ledger.AddJob(job, false, m.now)
+}
+
+// cycle is the usual sequence between a leader and an agent.
+func (m *termsModel) cycle(l *termsLeader, a *termsAgent) {
+	m.adopt(a)
+	m.notice(l, a)
+	if s := l.sessions[a.x.name]; s == nil {
+		if l.term < a.term {
+			return
+		}
+		m.dial(l, a)
+	}
+	m.adopt(a)
+	m.hold(a)
+	s := l.sessions[a.x.name]
+	for s != nil && len(s.reports) > 0 {
+		m.read(l, a)
+	}
+	m.dispatch(l)
+	for a.session != nil && len(a.session.frames) > 0 {
+		m.receive(a)
+	}
+	for range len(a.x.inFlight) {
+		m.arrive(a)
+	}
+}
+
+// advance advances the clock.
+func (m *termsModel) advance(by time.Duration) {
+	m.now = m.now.Add(by)
+	m.expireLeases()
+	for _, a := range m.agents {
+		m.lapse(a)
+	}
+}
+
+// recover ends all faults and requires that every job ends.
+func (m *termsModel) recover() {
+	m.calm = true
+	l := m.latest()
+	l.cut = false
+	for _, a := range m.agents {
+		if a.draining || a.gone { // it ends, and the next one is announced
+			m.restart(a.x)
+		}
+	}
+	done := func() bool {
+		for _, job := range m.jobs {
+			if l.ledger.Jobs[job.ID].Final == "" {
+				return false
+			}
+		}
+		return true
+	}
+	for range termsCycles {
+		if done() {
+			return
+		}
+		m.advance(termsCycle)
+		m.answer(l)
+		m.ask(l)
+		m.answer(l)
+		for _, a := range m.agents {
+			if a.session != nil && a.session.leader != l {
+				a.loseSession()
+			}
+			m.cycle(l, a)
+			for _, id := range sortedTasks(a.x.running) {
+				m.end(a.x, id, fleet.EndDone)
+			}
+		}
+		m.store(l)
+	}
+	require.True(m.t, done(), "a task is lost: %d jobs, settled %v", len(m.jobs), l.ledger.Settled)
+}
+
+const minTermsStarts = 10000
+
+// Guards against runs of a task that meet, starts after its end and lost tasks while two
+// leaders lead at a time.
+func TestExploreLeadersBesideEachOther(t *testing.T) {
+	modelStarts = 0
+	defer func() { require.Greater(t, modelStarts, minTermsStarts) }()
+	rapid.Check(t, func(t *rapid.T) {
+		m := newTermsModel(t, rapid.IntRange(1, 3).Draw(t, "executors"))
+		advance := func() {
+			ms := rapid.SampledFrom([]int{20, 100, 300, 300, 1000, 2000, 4200}).Draw(t, "ms")
+			m.advance(time.Duration(ms) * time.Millisecond)
+		}
+		steps := []struct {
+			weight int
+			run    func()
+		}{
+			{12, func() { m.cycle(m.leader(), m.agent()) }}, {4, func() { m.hold(m.agent()) }}, {4, func() { m.read(m.leader(), m.agent()) }},
+			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent()) }},
+			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
+			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
+			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
+			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
+			{2, func() { m.adopt(m.agent()) }}, {2, func() { m.dial(m.leader(), m.agent()) }}, {1, func() { m.notice(m.leader(), m.agent()) }},
+			{1, func() {
+				if a := m.agent(); a.session != nil {
+					a.loseSession()
+				}
+			}},
+			{1, func() { m.leave(m.agent()) }}, {1, func() { m.drain(m.agent()) }}, {1, func() { m.foreignAnnouncement(m.agent()) }},
+			{1, func() { l := m.latest(); l.cut = !l.cut }},
+		}
+		var draw []func()
+		for _, s := range steps {
+			for range s.weight {
+				draw = append(draw, s.run)
+			}
+		}
+		for range rapid.IntRange(80, 180).Draw(t, "steps") {
+			draw[rapid.IntRange(0, len(draw)-1).Draw(t, "step")]()
+		}
+		m.recover()
+	})
+}
--- a/internal/fleet/ledger/explore_test.go
+++ b/internal/fleet/ledger/explore_test.go
@@ -33,6 +33,10 @@
 	start    fleet.StartOrder // of a stop: Task and Run only
 	deadline time.Time
 	repeat   bool // the agent tries again until there is an answer
+	// The fields below are of the model with several leaders.
+	uncertain bool          // a call before may have started the run
+	revoke    bool          // a stop after a refusal, which is reported as revoked
+	lease     time.Duration // deadline by the clock of the instance
 }
 
 // modelExecutor follows the platform's rules for runs.
@@ -46,8 +50,10 @@
 	closed         map[fleet.TaskID]int // run numbers up to which no run starts any more
 	ended          []fleet.End
 	lapsedEnds     map[uint64]bool // ends that were not acknowledged when the lease expired
+	endedAfter     map[uint64]int  // number of starts in the model before an end
 	number         uint64          // of the last end
 	inFlight       []modelOrder
+	born           time.Time // start of the instance
 	connected      bool
 }
 
@@ -64,33 +70,48 @@
 	x.inFlight = slices.DeleteFunc(x.inFlight, func(o modelOrder) bool { return o.instance != x.instance() })
 }
 
-// model is a ledger, its executors and what was stored. It records what the ledger
-// acknowledged, to check later starts against it.
-type model struct {
+// modelVMs are the executors. They record what was acknowledged to them, to check later
+// starts against it.
+type modelVMs struct {
 	t         *rapid.T
 	now       time.Time
-	term      int
-	ledger    *Ledger
-	jobs      []fleet.Job
-	stored    map[string][]byte
 	executors []*modelExecutor
 	done      map[fleet.TaskID]bool // an EndDone was acknowledged
 	failures  map[fleet.TaskID]int  // number of acknowledged EndFailed
+	starts    int
+	lastStart map[fleet.TaskID]int // value of starts at the last start of a task
 }
 
-func newModel(t *rapid.T, nodes int) *model {
-	m := &model{t: t, now: start, stored: map[string][]byte{}, done: map[fleet.TaskID]bool{}, failures: map[fleet.TaskID]int{}}
+func newModelVMs(t *rapid.T, nodes int) *modelVMs {
+	m := &modelVMs{t: t, now: start, done: map[fleet.TaskID]bool{}, failures: map[fleet.TaskID]int{}, lastStart: map[fleet.TaskID]int{}}
 	for i := range nodes {
-		m.executors = append(m.executors, &modelExecutor{
-			name: fmt.Sprintf("vm-%d", i), running: map[fleet.TaskID]int{}, closed: map[fleet.TaskID]int{}, lapsedEnds: map[uint64]bool{}, connected: true,
-		})
+		x := &modelExecutor{name: fmt.Sprintf("vm-%d", i), connected: true}
+		m.restart(x)
+		m.executors = append(m.executors, x)
 	}
-	step := fleet.Step{Count: modelTasks, Need: structs.Resources{MilliCPU: 1}}
-	m.jobs = []fleet.Job{{ID: "job", Steps: []fleet.Step{step, {Count: 1, After: []int{0}}}}}
+	return m
+}
+
+// model is a ledger, its executors and what was stored.
+type model struct {
+	*modelVMs
+	term   int
+	ledger *Ledger
+	jobs   []fleet.Job
+	stored map[string][]byte
+}
+
+func newModel(t *rapid.T, nodes int) *model {
+	m := &model{modelVMs: newModelVMs(t, nodes), stored: map[string][]byte{}, jobs: []fleet.Job{modelJob("job")}}
 	m.elect()
 	return m
 }
 
+func modelJob(id string) fleet.Job {
+	step := fleet.Step{Count: modelTasks, Need: structs.Resources{MilliCPU: 1}}
+	return fleet.Job{ID: id, Steps: []fleet.Step{step, {Count: 1, After: []int{0}}}}
+}
+
 // elect starts a new term, whose leader knows only what is stored.
 func (m *model) elect() {
 	m.term++
@@ -108,7 +129,7 @@
 	}
 }
 
-func (m *model) pick() *modelExecutor {
+func (m *modelVMs) pick() *modelExecutor {
 	return m.executors[rapid.IntRange(0, len(m.executors)-1).Draw(m.t, "executor")]
 }
 
@@ -159,15 +180,7 @@
 	if orders.Instance != x.instance() {
 		return
 	}
-	x.ended = slices.DeleteFunc(x.ended, func(e fleet.End) bool {
-		if e.Number > orders.Stored {
-			return false
-		}
-		if !x.lapsedEnds[e.Number] {
-			m.recordAcknowledged(e)
-		}
-		return true
-	})
+	m.acknowledge(x, orders.Stored)
 	for _, s := range orders.Starts {
 		x.inFlight = append(x.inFlight, modelOrder{term: m.term, instance: orders.Instance, start: s, deadline: x.deadline, repeat: true})
 	}
@@ -176,14 +189,25 @@
 	}
 }
 
-// recordAcknowledged records an acknowledged end.
-func (m *model) recordAcknowledged(e fleet.End) {
-	switch e.Reason {
-	case fleet.EndDone:
-		m.done[e.Task] = true
-	case fleet.EndFailed:
-		m.failures[e.Task]++
-	}
+// acknowledge drops the ends up to a number and records them. It checks that no run of a
+// task has started since it ended as done.
+func (m *modelVMs) acknowledge(x *modelExecutor, upTo uint64) {
+	x.ended = slices.DeleteFunc(x.ended, func(e fleet.End) bool {
+		if e.Number > upTo {
+			return false
+		}
+		if x.lapsedEnds[e.Number] {
+			return true
+		}
+		switch e.Reason {
+		case fleet.EndDone:
+			require.LessOrEqual(m.t, m.lastStart[e.Task], x.endedAfter[e.Number], "%s has started since it was done", e.Task)
+			m.done[e.Task] = true
+		case fleet.EndFailed:
+			m.failures[e.Task]++
+		}
+		return true
+	})
 }
 
 // arrive carries out an order in flight; its answer may be lost.
@@ -213,7 +237,7 @@
 // carryOut carries out an order by the rules of the platform. It checks that a run
 // that starts is the only one of its task and may still start. live reports
 // whether the agent is waiting for the answer.
-func (m *model) carryOut(x *modelExecutor, o modelOrder, live bool) fleet.OrderResult {
+func (m *modelVMs) carryOut(x *modelExecutor, o modelOrder, live bool) fleet.OrderResult {
 	id, run := o.start.Task, o.start.Run
 	switch {
 	case o.instance != x.instance() && !live:
@@ -224,7 +248,7 @@
 		if x.running[id] > 0 && x.running[id] <= run {
 			m.end(x, id, fleet.EndStopped)
 		}
-		x.closed[id] = max(x.closed[id], run)
+		x.closed[id], x.fence = max(x.closed[id], run), max(x.fence, o.term)
 		return fleet.OrderDone
 	case x.running[id] == run:
 		return fleet.OrderDone
@@ -239,6 +263,9 @@
 	require.False(m.t, m.done[id], "%s starts after it was done", id)
 	require.Less(m.t, m.failures[id], modelAttempts, "%s starts after its last attempt", id)
 	x.running[id] = run
+	x.fence = max(x.fence, o.term)
+	m.starts++
+	m.lastStart[id] = m.starts
 	modelStarts++
 	return fleet.OrderDone
 }
@@ -249,16 +276,16 @@
 
 const minModelStarts = 12000
 
-func (m *model) end(x *modelExecutor, id fleet.TaskID, reason fleet.EndReason) {
+func (m *modelVMs) end(x *modelExecutor, id fleet.TaskID, reason fleet.EndReason) {
 	run := x.running[id]
 	delete(x.running, id)
 	x.number++
-	x.closed[id] = max(x.closed[id], run)
+	x.closed[id], x.endedAfter[x.number] = max(x.closed[id], run), m.starts
 	x.ended = append(x.ended, fleet.End{Number: x.number, Task: id, Run: run, Reason: reason})
 }
 
 // finish ends a run through its own fault or as done.
-func (m *model) finish(x *modelExecutor) {
+func (m *modelVMs) finish(x *modelExecutor) {
 	ids := sortedTasks(x.running)
 	if len(ids) == 0 {
 		return
@@ -270,6 +297,12 @@
 // advance advances the clock and ends the runs whose lease expires by then.
 func (m *model) advance() {
 	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{50, 300, 1500, 4500}).Draw(m.t, "ms")) * time.Millisecond)
+	m.expireLeases()
+	m.ledger.Tick(m.now, m.now)
+}
+
+// expireLeases ends the runs whose lease has expired.
+func (m *modelVMs) expireLeases() {
 	for _, x := range m.executors {
 		if !x.deadline.Before(m.now) {
 			continue
@@ -281,7 +314,6 @@
 			x.lapsedEnds[e.Number] = true
 		}
 	}
-	m.ledger.Tick(m.now, m.now)
 }
 
 // plan starts ready tasks on executors chosen at random.
@@ -316,9 +348,9 @@
 }
 
 // restart restarts an executor as a new instance.
-func (m *model) restart(x *modelExecutor) {
+func (m *modelVMs) restart(x *modelExecutor) {
 	x.instanceNumber++
-	x.fence, x.number, x.deadline = 0, 0, time.Time{}
+	x.fence, x.number, x.deadline, x.born, x.endedAfter = 0, 0, time.Time{}, m.now, map[uint64]int{}
 	x.running, x.closed, x.ended, x.lapsedEnds = map[fleet.TaskID]int{}, map[fleet.TaskID]int{}, nil, map[uint64]bool{}
 }
 
