--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -421,8 +421,8 @@
 	m.tracef("lease of %s ended by its agent", a.x.instanceOfAgent())
 	a.life++
 	a.cancelOrders()
-	if a.leaveSaid {
-		a.gone = true
+	if a.leaveSaid { // no hold has been answered since
+		a.gone, a.draining = true, true
 	}
 	m.report(a, Report{})
 }
@@ -692,11 +692,6 @@
 	m.calm = true
 	l := m.latest()
 	l.cut = false
-	for _, a := range m.agents {
-		if a.draining || a.gone { // it ends, and the next one is announced
-			m.restart(a.x)
-		}
-	}
 	done := func() bool {
 		for _, job := range m.jobs {
 			if l.ledger.Jobs[job.ID].Final == "" {
@@ -714,6 +709,9 @@
 		m.ask(l)
 		m.answer(l)
 		for _, a := range m.agents {
+			if a.draining || a.gone { // it ends, and the next one is announced
+				m.restart(a.x)
+			}
 			if a.session != nil && a.session.leader != l {
 				a.loseSession()
 			}
