--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -645,12 +645,38 @@
 		m.read(l, a)
 	}
 	m.dispatch(l)
+	m.receiveAll(a)
+	for range len(a.x.inFlight) {
+		m.arrive(a, m.calm)
+	}
+}
+
+func (m *termsModel) receiveAll(a *termsAgent) {
 	for a.session != nil && len(a.session.frames) > 0 {
 		m.receive(a)
 	}
-	for range len(a.x.inFlight) {
-		m.arrive(a, m.calm)
+}
+
+// reset ends the session of an agent, once or twice and also with its process, while it calls
+// its executor, which carries the calls out later or never.
+func (m *termsModel) reset(a *termsAgent) {
+	l := m.latest()
+	m.hold(a)
+	for s := l.sessions[a.x.name]; s != nil && len(s.reports) > 0; {
+		m.read(l, a)
+	}
+	m.dispatch(l)
+	m.receiveAll(a)
+	for range rapid.IntRange(1, 2).Draw(m.t, "resets") {
+		if rapid.Bool().Draw(m.t, "process") {
+			m.restartAgent(a)
+		} else if a.session != nil {
+			a.loseSession()
+		}
+		m.dial(l, a)
 	}
+	m.pass(rapid.IntRange(1, 4).Draw(m.t, "renewals"))
+	m.arrive(a, true)
 }
 
 // advance advances the clock.
@@ -776,7 +802,7 @@
 			{12, func() { m.cycle(m.leader(), m.agent()) }}, {4, func() { m.hold(m.agent()) }}, {4, func() { m.read(m.leader(), m.agent()) }},
 			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent(), true) }},
 			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
-			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain},
+			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }},
 			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
 			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
 			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
