--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"flag"
 	"maps"
 	"slices"
@@ -585,6 +586,9 @@
 		}
 		f := termsFrame{}
 		f.Orders, _ = n.TakeOrders()
+		// The ledger orders those of several runs in no fixed order.
+		slices.SortStableFunc(f.Starts, func(a, b fleet.StartOrder) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+		slices.SortStableFunc(f.Stops, func(a, b RunRef) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
 		if s.answer != nil {
 			left := time.Duration(float64(termsGrantGrace-m.now.Sub(l.confirmed)) * fleet.ClockRate)
 			if f.ttl = min(termsLease, left); f.ttl > 0 {
