ledger: a red test of the lease of an instance that is started anew

Cause: the agent calls a start for the first time without a hold, so an executor that was started anew under its ID since the last hold takes it, with a deadline by the clock of the instance before. It shortens that to the longest lease that it accepts (10 s).

--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -684,6 +684,30 @@
 	m.arrive(a, true)
 }
 
+// reborn starts an executor anew under its ID while starts are called, which have a deadline
+// by the clock of the instance before, and ends the session.
+func (m *termsModel) reborn(a *termsAgent) {
+	l := m.latest()
+	m.confirm(l)
+	m.hold(a)
+	for s := l.sessions[a.x.name]; s != nil && len(s.reports) > 0; {
+		m.read(l, a)
+	}
+	m.dispatch(l)
+	m.receiveAll(a)
+	m.restart(a.x)
+	m.arrive(a, false)
+	if rapid.Bool().Draw(m.t, "adopted") {
+		m.adopt(a)
+		m.cycle(l, a)
+	}
+	if a.session != nil {
+		a.loseSession()
+	}
+	m.notice(l, a)
+	m.pass(rapid.IntRange(3, 8).Draw(m.t, "renewals"))
+}
+
 // advance advances the clock.
 func (m *termsModel) advance(by time.Duration) {
 	m.now = m.now.Add(by)
@@ -789,6 +813,9 @@
 	require.True(m.t, done(), "a task is lost: %d jobs, settled %v", len(m.jobs), l.ledger.Settled)
 }
 
+// rebornWeight is 0 until TestLeaseOfANewInstanceMayBeTheLongest passes, 2 from then on.
+const rebornWeight = 0
+
 const (
 	minTermsStarts = 14000
 	// termsChecks is the number of checks unless the command names one. Each takes longer
@@ -823,7 +850,7 @@
 			{12, func() { m.cycle(m.leader(), m.agent()) }}, {4, func() { m.hold(m.agent()) }}, {4, func() { m.read(m.leader(), m.agent()) }},
 			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent(), true) }},
 			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
-			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }},
+			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {rebornWeight, func() { m.reborn(m.agent()) }},
 			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
 			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
 			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -666,3 +666,23 @@
 	w.ledger.Tick(w.now, w.now)
 	require.Nil(t, w.node("b"))
 }
+
+// Guards against a second run of a task beside one whose start was called with a deadline by
+// the clock of the instance before: the new one under the same ID, whose clock starts anew,
+// shortens it to the longest lease that it accepts.
+func TestLeaseOfANewInstanceMayBeTheLongest(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one())
+	w.start("a")
+	n := w.node("a")
+	n.TakeOrders()
+	e := n.Executor
+	e.Instance = "a@2"
+	w.ledger.Report(n, Report{Executor: &e, Listed: true, Running: runningOf(taskOf("job"), 1)}, w.now)
+	n.LeaseUntil = w.now.Add(maxLease / 2) // as the leader counts its grants
+	w.ledger.Disconnected(n)
+	w.now = w.now.Add(maxLease * 3 / 4)
+	w.ledger.Tick(w.now, w.now)
+	require.Contains(t, n.Runs, taskOf("job"), "it may go on")
+}
