side: share the step that runs in an agent's loop between two tests

TestLeaveEndsNoExecutorThatAnswers and TestExecutorSaidToLeaveIsUsedAgainOnceItAnswers each had a copy of it.

--- a/internal/fleet/side/announcement_test.go
+++ b/internal/fleet/side/announcement_test.go
@@ -58,6 +58,13 @@
 	return a
 }
 
+// inLoop runs f in the loop of an agent and waits until it has returned.
+func inLoop(a *Agent, f func()) {
+	done := make(chan struct{})
+	a.post(context.Background(), func() { f(); close(done) })
+	<-done
+}
+
 // instanceOf returns the instance that the agent takes for its executor.
 func instanceOf(a *Agent) string {
 	answer := make(chan string)
@@ -189,11 +196,7 @@
 	a := newAnnouncedAgent(t, x)
 	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
 	requireInstance(t, a, "i-1@1000")
-	do := func(f func()) {
-		done := make(chan struct{})
-		a.post(context.Background(), func() { f(); close(done) })
-		<-done
-	}
+	do := func(f func()) { inLoop(a, f) }
 	isOver := func() (over bool) {
 		do(func() { a.tick(t.Context()); over = a.executorLeft || a.lapsed || a.executor.Draining })
 		return over
@@ -235,11 +238,7 @@
 	a := newAnnouncedAgent(t, x)
 	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
 	requireInstance(t, a, "i-1@1000")
-	do := func(f func()) {
-		done := make(chan struct{})
-		a.post(context.Background(), func() { f(); close(done) })
-		<-done
-	}
+	do := func(f func()) { inLoop(a, f) }
 	a.Leave("i-1", 0)
 	do(func() {
 		a.lease.latest.at = a.lease.latest.at.Add(-time.Minute)
