ledger: repeat the stop of a run that is still listed 1.5 s after it was ordered

Callers could see a task of a cancelled job run on.

Cause: within a session a stop was ordered once. An answer that has no effect ends it at the agent: a refusal as fenced, gone or invalid, or an acknowledgement that the executor does not follow. The run stayed in the state 'stopping', and its room and task with it, until the session or the executor ended.

The ledger now goes by what the executor lists: a run that is listed 1.5 s after the last order of its stop is ordered to stop again. An agent drops a second order for a stop in progress, and an executor answers a stop of a stopping run like the first.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -52,6 +52,7 @@
 	survived      bool      // the executor has not crashed at its start
 	withheld      bool      // not ordered from the present instance
 	repeated      bool      // its start was ordered in several sessions
+	stopListedAt  time.Time // when it was first listed after its stop was last ordered
 }
 
 // Task is one task of an occurrence of a job.
@@ -489,7 +490,7 @@
 	if r.State == Stopping {
 		return
 	}
-	r.State, r.absentFrom = Stopping, 0
+	r.State, r.absentFrom, r.stopListedAt = Stopping, 0, time.Time{}
 	r.Node.changes++
 	r.Node.orders.Stops = append(r.Node.orders.Stops, RunRef{r.ID, r.Number})
 	l.pending[r.Node] = struct{}{}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -375,6 +375,29 @@
 	require.Empty(t, orders.Stops, "the agent repeats it within the session")
 }
 
+// Guards against a cancelled job that runs on in a session in which its stop was refused
+// or had no effect.
+func TestStopWithoutEffectIsRepeated(t *testing.T) {
+	for _, answer := range []fleet.OrderResult{fleet.OrderDone, fleet.OrderFenced, fleet.OrderGone, fleet.OrderRejected} {
+		w := newFixture(t, "a")
+		w.list("a", nil)
+		w.add("job", false, one())
+		w.start("a")
+		ref := RunRef{taskOf("job"), 1}
+		w.list("a", runningOf(ref.Task, ref.Run))
+		require.True(t, w.ledger.Cancel("job", w.now))
+		w.node("a").TakeOrders()
+		w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Results: []Result{{Task: ref.Task, Run: ref.Run, Stop: true, Result: answer}}}, w.now)
+		repeated := 0
+		for end := w.now.Add(4 * time.Second); w.now.Before(end); w.now = w.now.Add(300 * time.Millisecond) {
+			w.list("a", runningOf(ref.Task, ref.Run))
+			orders, _ := w.node("a").TakeOrders()
+			repeated += len(orders.Stops)
+		}
+		require.Equal(t, 2, repeated, "answer %d", answer)
+	}
+}
+
 // Guards against progress that a new leader reads differently from what the
 // earlier one stored.
 func TestProgressSurvivesALeader(t *testing.T) {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -19,6 +19,9 @@
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
+	// stopRepeatDelay is how long a run may be listed after its stop was ordered before
+	// the stop is ordered again. Executors stop a run within a second.
+	stopRepeatDelay = 1500 * time.Millisecond
 )
 
 // Result is the answer to a start or stop order.
@@ -242,6 +245,7 @@
 		r.repeated = true
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
+		r.stopListedAt = time.Time{}
 		if ref := (RunRef{r.ID, r.Number}); !slices.Contains(r.Node.orders.Stops, ref) {
 			r.Node.orders.Stops = append(r.Node.orders.Stops, ref)
 		}
@@ -250,6 +254,20 @@
 	}
 }
 
+// repeatLateStop orders the stop of a run again that is still listed stopRepeatDelay after
+// the last order: whatever has become of that order, the run works on.
+func (l *Ledger) repeatLateStop(r *Run, now time.Time) {
+	if r.stopListedAt.IsZero() {
+		r.stopListedAt = now
+		return
+	}
+	if now.Sub(r.stopListedAt) < stopRepeatDelay {
+		return
+	}
+	l.log(Event{What: "stop repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Age: now.Sub(r.stopListedAt)})
+	l.repeatOrder(r)
+}
+
 // applyRunning applies a listed run.
 func (l *Ledger) applyRunning(n *Node, running fleet.Running, now time.Time) {
 	run := n.Runs[running.Task]
@@ -265,8 +283,11 @@
 	if run.State == Starting {
 		run.State = Running
 	}
-	if run.State == Running {
+	switch run.State {
+	case Running:
 		run.absentFrom = n.completeListings + absenceListings
+	case Stopping:
+		l.repeatLateStop(run, now)
 	}
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressedAt = running.Percent, now
