--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -86,6 +86,7 @@
 	unanswered map[ledger.RunRef]struct{}
 	holdTimer  *time.Timer
 	given      givenRuns
+	paces      map[ledger.RunRef]*paceOrder
 	crash      crash
 
 	// generation counts sessions and instances of the executor. Answers to holds
@@ -125,7 +126,7 @@
 	return &Agent{
 		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
 		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{}, candidates: map[string]*candidate{},
-		given: givenRuns{},
+		given: givenRuns{}, paces: map[ledger.RunRef]*paceOrder{},
 	}
 }
 
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -188,21 +188,3 @@
 		}
 	}()
 }
-
-// setPace sets the pace of a run. The order is dropped after three tries.
-func (a *Agent) setPace(s *session, p ledger.PaceOrder) {
-	e, term := *a.executor, a.term
-	go func() {
-		const tries = 3
-		for range tries {
-			result, err := a.opts.Executors.Pace(s.ctx, e, term, p.Task, p.Run, p.Percent)
-			if err == nil && result != fleet.OrderUnknown && result != fleet.OrderBusy {
-				return
-			}
-			fleet.Sleep(s.ctx, orderRetryDelay)
-		}
-		if s.ctx.Err() == nil {
-			a.opts.Log.Warn("Pace not set.", "task", p.Task, "run", p.Run, "percent", p.Percent)
-		}
-	}()
-}
