lead: watch the configuration on after failures instead of reading it whole

Cause: each entry read the whole configuration (half a megabyte) after each failed watch, with a limit of 650 ms for the whole read, then through other entries, which read it from the store as well, then directly again. No read ended in time, and all began anew: a retry that makes the overload it waits out.

Now an entry watches on from the known revision after a failure, first for short times, as a silent connection is found out only at the end of a watch, with growing, spread pauses. It reads the value whole only at the start and once the history was dropped, without a limit but the silence that the client of the store allows. Other entries answer from the configuration that they hold, if the store has answered them within 2.5 s, in pieces of 64 KB and without a call to the store. An attempt asks three of them at most. Only one goroutine of a process reads the configuration, so that no read begins beside another one. Reads of the configuration no longer count for isDown.

Entries of earlier versions still get it as one reply to a read or watch; an entry of an earlier version that is asked for a piece counts as one that cannot help.

--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -23,10 +23,7 @@
 	askTimeout = 600 * time.Millisecond // of a request to another entry; the leader answers within milliseconds
 	// notifyAttempts is the number of attempts to notify the leader. If all fail, its
 	// watch of the store still finds the change.
-	notifyAttempts     = 3
-	configWatchTimeout = 2 * time.Second
-	configRetry        = 200 * time.Millisecond
-	configWatchRetry   = 700 * time.Millisecond // after a failed watch; longer, as a relayed configuration is large
+	notifyAttempts = 3
 )
 
 // Entry serves callers and takes part in elections. One of the entries leads.
@@ -35,32 +32,27 @@
 	listener     net.Listener
 	source       ConfigSource
 	config       atomic.Pointer[fleet.Config]
+	held         atomic.Pointer[heldConfig] // nil: none is in force
 	localLeader  atomic.Pointer[Leader]
 	ledUntil     atomic.Int64 // end of the last term led by this process, as of sinceStart; 0: it has led none
 	leaving      atomic.Bool
 	stopElection context.CancelFunc
 
-	direct fleet.Store // the store without relaying
-	store  *relayStore
-	peers  peers
+	direct  fleet.Store // the store without relaying
+	store   *relayStore
+	peers   peers
+	askPeer func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
 
 	mu     sync.Mutex
 	leader link.LeaderRecord
 	term   uint64
 }
 
-// ConfigSource states where the operators' configuration is stored and how to decode
-// it.
-type ConfigSource struct {
-	Prefix string // prefix to watch
-	Key    string
-	Decode func([]byte) (*fleet.Config, error)
-}
-
 // NewEntry returns an entry. The listener accepts sessions of other entries.
 func NewEntry(o Options, listener net.Listener, source ConfigSource) *Entry {
 	e := &Entry{opts: o, listener: listener, source: source, direct: o.Store, peers: peers{sessions: map[string]*wire.Session{}}}
 	e.opts.Config = e.Config
+	e.askPeer = e.peers.ask
 	e.store = &relayStore{Store: o.Store, relay: e.relayCall}
 	e.opts.Store = e.store
 	return e
@@ -102,50 +94,6 @@
 // Leaving implements fleet.JobService.
 func (e *Entry) Leaving() bool { return e.leaving.Load() }
 
-// watchConfig watches the configuration and adopts each new version, until ctx ends.
-func (e *Entry) watchConfig(ctx context.Context) {
-	for ctx.Err() == nil {
-		item, err := e.opts.Store.Get(ctx, e.source.Key)
-		if err != nil {
-			if !isNotFound(err) {
-				e.opts.Log.Warn("Configuration not read.", "err", err)
-			}
-			fleet.Sleep(ctx, configRetry)
-			continue
-		}
-		e.adopt(item)
-		after := max(item.Revision, item.AsOf) // the store may have dropped the history after the revision
-		for ctx.Err() == nil {
-			changes, next, err := e.opts.Store.Watch(ctx, e.source.Prefix, after, configWatchTimeout)
-			if err != nil {
-				fleet.Sleep(ctx, configWatchRetry)
-				break // read the configuration again
-			}
-			for _, c := range changes {
-				if c.Key == e.source.Key && !c.Removed {
-					e.adopt(c.Item)
-				}
-			}
-			after = next
-		}
-	}
-}
-
-// adopt puts a configuration in force if its version is higher than the current one.
-func (e *Entry) adopt(item fleet.Item) {
-	config, err := e.source.Decode(item.Value)
-	if err != nil {
-		e.opts.Log.Error("Cannot decode the configuration, keeping the current one.", "revision", item.Revision, "err", err)
-		return
-	}
-	current := e.config.Load()
-	if current != nil && config.Version <= current.Version {
-		return
-	}
-	e.config.Store(config)
-	e.opts.Log.Info("Configuration in force.", "version", config.Version, "revision", item.Revision, "queues", len(config.Queues))
-}
-
 // setLeader records the leader of a term, unless a later term is known.
 func (e *Entry) setLeader(record link.LeaderRecord, term uint64) {
 	e.mu.Lock()
@@ -170,7 +118,7 @@
 	if address == "" || address == e.opts.Advertise {
 		return nil, errNoLeader
 	}
-	return e.peers.ask(ctx, address, q)
+	return e.askPeer(ctx, address, q)
 }
 
 var errNoLeader = errors.New("no leader is known or reachable")
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -74,6 +74,7 @@
 	Keep   uint64        `json:"keep,omitempty"`
 	End    uint64        `json:"end,omitempty"`
 	Watch  *watchCall    `json:"watch,omitempty"`
+	Config *configCall   `json:"config,omitempty"`
 }
 
 // pageCall asks for the items whose keys have a prefix and come after a key.
@@ -98,6 +99,7 @@
 	Changes  []fleet.Change `json:"changes,omitempty"`
 	Revision uint64         `json:"revision,omitempty"`
 	Lease    uint64         `json:"lease,omitempty"`
+	Config   *configPiece   `json:"config,omitempty"`
 	Problem  string         `json:"problem,omitempty"`
 	Detail   string         `json:"detail,omitempty"`
 }
@@ -152,7 +154,7 @@
 // tryBoth makes a call directly unless direct calls are avoided, then through another
 // entry. failed is the error of the direct call that got no answer, or nil.
 func (r *relayStore) tryBoth(ctx context.Context, c storeCall) (reply storeReply, failed, err error) {
-	if until := r.avoidDirectUntil.Load(); sinceStart() >= until {
+	if until := r.avoidDirectUntil.Load(); until == 0 || sinceStart() >= until {
 		reply, err = c.executeDirect(ctx, r.Store)
 		if !isOutage(err) {
 			r.avoidDirectUntil.CompareAndSwap(until, 0)
@@ -408,33 +410,42 @@
 // relayCall makes a call through the other entries, one after another until the store
 // answers one of them.
 func (e *Entry) relayCall(ctx context.Context, c storeCall) (storeReply, error) {
-	raw, err := json.Marshal(c)
-	if err != nil {
-		return storeReply{}, fmt.Errorf("%w: encode: %w", kv.ErrUnavailable, err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	failed := fmt.Errorf("%w: no other entry is known", kv.ErrUnavailable)
 	for _, address := range e.peers.addresses() {
-		reply, err := e.peers.ask(ctx, address, &pb.FleetAsk{Kind: link.AskStore, Job: raw})
-		if err != nil {
-			failed = leastCertain(failed, fmt.Errorf("%w: entry %s: %w", kv.ErrUncertain, address, err))
-			continue
-		}
-		var out storeReply
-		if err := json.Unmarshal(reply.GetData(), &out); err != nil {
-			return out, fmt.Errorf("%w: reply of entry %s: %w", kv.ErrUncertain, address, err)
+		reply, err := e.askStore(ctx, address, c)
+		if err == nil {
+			err = c.errorIn(reply)
 		}
-		if err := c.errorIn(out); isOutage(err) {
+		if isOutage(err) {
 			failed = leastCertain(failed, err)
 			continue
 		}
 		e.peers.prefer(address)
-		return out, nil
+		return reply, nil
 	}
 	return storeReply{}, failed
 }
 
+// askStore makes a call through another entry. Its error is that of the way to the entry;
+// the reply may carry another one.
+func (e *Entry) askStore(ctx context.Context, address string, c storeCall) (storeReply, error) {
+	var out storeReply
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return out, fmt.Errorf("%w: encode: %w", kv.ErrUnavailable, err)
+	}
+	reply, err := e.askPeer(ctx, address, &pb.FleetAsk{Kind: link.AskStore, Job: raw})
+	if err != nil {
+		return out, fmt.Errorf("%w: entry %s: %w", kv.ErrUncertain, address, err)
+	}
+	if err := json.Unmarshal(reply.GetData(), &out); err != nil {
+		return out, fmt.Errorf("%w: reply of entry %s: %w", kv.ErrUncertain, address, err)
+	}
+	return out, nil
+}
+
 // serveStore makes a call to the store on behalf of another entry.
 func (e *Entry) serveStore(ctx context.Context, q *pb.FleetAsk) (*pb.FleetReply, error) {
 	var call storeCall
@@ -447,7 +458,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := call.execute(ctx, e.direct)
+	reply, held, err := e.configReply(call)
+	if !held {
+		reply, err = call.execute(ctx, e.direct)
+	}
 	reply.shorten()
 	raw, err := json.Marshal(reply.withError(err))
 	if err != nil {
