lead: keep a session between entries after a request without a reply

Callers saw submissions and relayed calls fail together. An entry that got no reply to one request closed the session, and with it all other requests in it. That happened at once if the asked entry does not lead or could not decode the call, if the caller had little time left (the second entry of a relayed call has 200 ms), and whenever the store did not answer the asked entry: it waited 650 ms for the store, and the asker 600 ms for it.

A session is now given up only after 550 ms without a reply, and an entry waits 500 ms for the store on a call for another one, so that it replies before.

--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -25,6 +25,11 @@
 // refuse the connection.
 const peerDialTimeout = 250 * time.Millisecond
 
+// deadSilence is the time without a reply after which a session counts as dead. Other
+// requests in it fail as well, so that an entry which ends the stream without a reply, or
+// that had less time left, does not cost it.
+const deadSilence = askTimeout - 50*time.Millisecond
+
 // peers holds the sessions with other entries. They are opened on first use.
 type peers struct {
 	mu       sync.Mutex
@@ -125,10 +130,13 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = max(time.Millisecond, min(timeout, time.Until(deadline)))
 	}
+	began := time.Now()
 	frame, err := stream.Receive(timeout)
 	if err != nil {
-		// The connection may be dead without an error: the next request opens another.
-		_ = session.Close()
+		if time.Since(began) >= deadSilence {
+			// The connection may be dead without an error: the next request opens another.
+			_ = session.Close()
+		}
 		return nil, err
 	}
 	reply := frame.GetFleetReply()
--- a/internal/fleet/lead/peers_test.go
+++ b/internal/fleet/lead/peers_test.go
@@ -1,13 +1,17 @@
 package lead
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/kv"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 	"vanillalock.example/vanillalock/internal/wire"
 	"vanillalock.example/vanillalock/internal/wire/pb"
@@ -35,3 +39,55 @@
 		}
 	}
 }
+
+// Guards against requests that lose their session, and so fail, because another one in it
+// has no reply: it went to an entry that does not lead, its caller had little time left, or
+// the store does not answer the asked entry.
+func TestRequestWithoutReplyKeepsTheSession(t *testing.T) {
+	address := listeningEntry(t, t.Context(), &silentStore{})
+	call, err := json.Marshal(storeCall{Get: "key"})
+	require.NoError(t, err)
+	p := &peers{sessions: map[string]*wire.Session{}}
+	session, err := p.session(address)
+	require.NoError(t, err)
+
+	_, err = p.ask(t.Context(), address, &pb.FleetAsk{Kind: link.AskState, Id: "job"})
+	require.Error(t, err)
+	require.Same(t, session, p.alive(address), "not the leader")
+
+	hasty, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = p.ask(hasty, address, &pb.FleetAsk{Kind: link.AskStore, Job: call})
+	require.Error(t, err)
+	require.Same(t, session, p.alive(address), "little time left")
+
+	reply, err := p.ask(t.Context(), address, &pb.FleetAsk{Kind: link.AskStore, Job: call})
+	require.NoError(t, err)
+	require.Same(t, session, p.alive(address), "the store does not answer")
+	var out storeReply
+	require.NoError(t, json.Unmarshal(reply.GetData(), &out))
+	require.ErrorIs(t, out.err(), kv.ErrUncertain)
+}
+
+// Guards against sessions that stay although the entry at their end has gone silent.
+func TestSilentSessionIsGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if session, err := wire.Accept(conn, wire.Config{}); err == nil {
+			_, _ = session.AcceptStream()
+		}
+	}()
+	p := &peers{sessions: map[string]*wire.Session{}}
+	address := listener.Addr().String()
+	ctx, cancel := context.WithTimeout(t.Context(), askTimeout) // as the requests of an entry have
+	defer cancel()
+	_, err = p.ask(ctx, address, &pb.FleetAsk{Kind: link.AskState, Id: "job"})
+	require.Error(t, err)
+	require.Nil(t, p.alive(address))
+}
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -30,6 +30,9 @@
 	// downThreshold is the number of consecutive calls without an answer after which
 	// the store counts as unreachable. A single call may be lost.
 	downThreshold = 2
+	// relayedTimeout is how long an entry waits for the store on a call for another one.
+	// It has to reply before deadSilence, or its session is given up.
+	relayedTimeout = 500 * time.Millisecond
 	// relayedWatchTimeout is how long an entry waits for the store on a watch for
 	// another one. Two entries can be asked within relayTimeout: an entry that is
 	// silent for longer loses its session, and with it the other calls.
@@ -452,7 +455,7 @@
 	if err := json.Unmarshal(q.GetJob(), &call); err != nil {
 		return nil, fmt.Errorf("decode relayed call: %w", err)
 	}
-	timeout := directTimeout
+	timeout := relayedTimeout
 	if call.Watch != nil {
 		timeout = relayedWatchTimeout
 	}
