lead: end a relayed call once its time is over

A call that no other entry answered within 800 ms still went to each remaining entry, with 1 ms for the reply. Nobody waited for these, but each asked entry called the store: with 56 entries one lost call became 53 calls of a store that was out of reach or busy, in each entry.

TestRelayedCallEndsWithItsTime asked 50 of 50 entries before, and asks 2 now. go test -race ./internal/fleet/lead passes.

--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -417,6 +417,9 @@
 	defer cancel()
 	failed := fmt.Errorf("%w: no other entry is known", kv.ErrUnavailable)
 	for _, address := range e.peers.addresses() {
+		if ctx.Err() != nil {
+			break // each further entry would still call the store
+		}
 		reply, err := e.askStore(ctx, address, c)
 		if err == nil {
 			err = c.errorIn(reply)
--- a/internal/fleet/lead/relay_test.go
+++ b/internal/fleet/lead/relay_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -337,3 +338,25 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{reaching, cut}, e.peers.addresses())
 }
+
+// Guards against a call that asks all other entries once its time is over: each of them
+// calls a store that is out of reach, for a reply that nobody waits for.
+func TestRelayedCallEndsWithItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEntry(Options{Store: &silentStore{}}, nil, ConfigSource{})
+		addresses := make([]string, 50)
+		for i := range addresses {
+			addresses[i] = fmt.Sprint("entry-", i)
+		}
+		e.peers.set(addresses)
+		asked := 0
+		e.askPeer = func(ctx context.Context, _ string, _ *pb.FleetAsk) (*pb.FleetReply, error) {
+			asked++
+			fleet.Sleep(ctx, askTimeout)
+			return nil, kv.ErrUncertain
+		}
+		_, err := e.relayCall(t.Context(), storeCall{Get: "key"})
+		require.ErrorIs(t, err, kv.ErrUncertain)
+		require.Equal(t, 2, asked)
+	})
+}
