--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -124,6 +124,14 @@
 	// exclusiveSince is a store revision from which on no earlier leader orders
 	// starts. 0: not known yet.
 	exclusiveSince uint64
+	watched        uint64        // store revision up to which the changes of the watched keys are applied
+	jobsAsked      askedRevision // once it is watched, the jobs stored before are known
+}
+
+// askedRevision is a revision that the store had in answer to a call sent at a time.
+type askedRevision struct {
+	number uint64 // 0: none
+	sent   time.Time
 }
 
 func newLeader(o Options, term, lease uint64, verified time.Time, before predecessor) *Leader {
@@ -321,6 +329,9 @@
 	switch {
 	case err == nil && item.Revision == l.term:
 		l.confirm(sent)
+		if l.jobsAsked.number == 0 && l.ledger.AwaitsJobs() {
+			l.jobsAsked = askedRevision{item.AsOf, sent}
+		}
 		// Earlier leaders last confirmed their terms before this one began, so none
 		// of them orders starts any more.
 		if l.exclusiveSince == 0 && sent.Sub(l.began) > startGrace {
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -30,6 +30,7 @@
 	}
 	now := time.Now()
 	l.restore(ctx, state, true, now)
+	l.setWatched(state.revision)
 	l.loadLearned(ctx, now)
 	return state.revision, nil
 }
--- a/internal/fleet/lead/watch.go
+++ b/internal/fleet/lead/watch.go
@@ -22,14 +22,22 @@
 			continue
 		}
 		after = next
-		if len(changes) > 0 {
-			l.post(ctx, func() {
-				now := time.Now()
-				for _, c := range changes {
-					l.apply(ctx, c, false, now)
-				}
-			})
-		}
+		l.post(ctx, func() {
+			now := time.Now()
+			for _, c := range changes {
+				l.apply(ctx, c, false, now)
+			}
+			l.setWatched(next)
+		})
+	}
+}
+
+// setWatched records that the changes of the watched keys are applied up to a revision.
+func (l *Leader) setWatched(revision uint64) {
+	l.watched = max(l.watched, revision)
+	if asked := l.jobsAsked; asked.number != 0 && l.watched >= asked.number {
+		l.jobsAsked.number = 0
+		l.ledger.JobsKnown(asked.sent)
 	}
 }
 
--- a/internal/fleet/lead/watch_test.go
+++ b/internal/fleet/lead/watch_test.go
@@ -250,3 +250,28 @@
 		require.Less(t, time.Since(began), 3*time.Second)
 	})
 }
+
+// Guards against the end of a job that is acknowledged before the leader can know whether
+// it has been removed, and against one that is never acknowledged.
+func TestEndOfAnUnknownJobWaitsForTheWatch(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	_, err := l.load(context.Background())
+	require.NoError(t, err)
+	node := l.ledger.AddNode("vm")
+	acknowledged := func() uint64 {
+		orders, _ := node.TakeOrders()
+		return orders.Stored
+	}
+	end := fleet.End{Number: 1, Task: fleet.TaskID{Job: "unknown"}, Run: 1, Reason: fleet.EndDone}
+	before := time.Now()
+	l.ledger.Report(node, ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true, Ended: []fleet.End{end}}, before.Add(time.Millisecond))
+	current := l.watched + 10
+	l.handleVerify(before, fleet.Item{Revision: l.term, AsOf: current}, nil)
+	l.setWatched(current)
+	require.Zero(t, acknowledged(), "the job may have been stored after the call")
+	l.handleVerify(before.Add(time.Second), fleet.Item{Revision: l.term, AsOf: current + 1}, nil)
+	l.setWatched(current)
+	require.Zero(t, acknowledged(), "the watch may not have got to the job")
+	l.setWatched(current + 1)
+	require.EqualValues(t, 1, acknowledged())
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -156,14 +156,14 @@
 	Trouble          float64
 	troubleAt        time.Time // when Trouble was last updated
 	changes          uint64
-	listings         int    // number of lists received of the instance
-	complete         bool   // complete lists have come in the present session of the agent
-	completeListings int    // number of complete lists received of the instance
-	orders           Orders // not taken yet
-	startsHeld       bool   // starts are not ordered yet
-	highestEnd       uint64 // highest number of a listed end of the instance
-	ackedEnds        uint64 // Orders.Stored as last taken
-	unstoredEnds     []unstoredEnd
+	listings         int           // number of lists received of the instance
+	complete         bool          // complete lists have come in the present session of the agent
+	completeListings int           // number of complete lists received of the instance
+	orders           Orders        // not taken yet
+	startsHeld       bool          // starts are not ordered yet
+	highestEnd       uint64        // highest number of a listed end of the instance
+	ackedEnds        uint64        // Orders.Stored as last taken
+	unstoredEnds     []unstoredEnd // by number
 	// lapsedSuspects and lapsedLate are the suspects and late suspects among the runs that
 	// were closed when the lease expired. They count once a new instance shows that the
 	// executor has crashed.
@@ -174,10 +174,12 @@
 // unstoredEnd is an end that is acknowledged once version of the job is stored.
 type unstoredEnd struct {
 	number  uint64
-	job     *Job
+	job     *Job // nil: it is not known yet
 	version uint64
 }
 
+func (u unstoredEnd) stored() bool { return u.job != nil && u.job.storedVersion >= u.version }
+
 // Changes returns a counter that rises with each report of the node and with each
 // start, stop and end of a run on it.
 func (n *Node) Changes() uint64 { return n.changes }
@@ -231,6 +233,7 @@
 	pending     map[*Node]struct{} // nodes with a report, orders or acknowledgements since the last TakePending
 	// cancelledEarly holds the times of cancellations of jobs that are not known yet.
 	cancelledEarly map[string]time.Time
+	early          map[string][]earlyEnd // ends of jobs that are not known, by job
 }
 
 // Options configure a Ledger.
@@ -249,7 +252,7 @@
 	return &Ledger{
 		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease,
 		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
-		cancelledEarly: map[string]time.Time{},
+		cancelledEarly: map[string]time.Time{}, early: map[string][]earlyEnd{},
 	}
 }
 
@@ -272,7 +275,6 @@
 		occ.Due = j.First.Add(time.Duration(k) * j.Interval)
 		l.scheduled = append(l.scheduled, occ)
 	}
-	l.attachListedRuns(job)
 	if j.Repeats > 0 {
 		slices.SortFunc(l.scheduled, func(a, b *Occurrence) int { return a.Due.Compare(b.Due) })
 	}
@@ -280,6 +282,8 @@
 		delete(l.cancelledEarly, j.ID)
 		l.Cancel(j.ID, now)
 	}
+	l.applyEarlyEnds(job, now)
+	l.attachListedRuns(job)
 	return job
 }
 
@@ -564,7 +568,7 @@
 
 // storedEnds returns the number up to which all listed ends are stored.
 func (n *Node) storedEnds() uint64 {
-	for len(n.unstoredEnds) > 0 && n.unstoredEnds[0].job.storedVersion >= n.unstoredEnds[0].version {
+	for len(n.unstoredEnds) > 0 && n.unstoredEnds[0].stored() {
 		n.unstoredEnds = n.unstoredEnds[1:]
 	}
 	if len(n.unstoredEnds) > 0 {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -63,6 +63,12 @@
 	w.ledger.Stored(records, 7)
 }
 
+// stored returns the number up to which the ends of a node are acknowledged.
+func (w *fixture) stored(node string) uint64 {
+	o, _ := w.node(node).TakeOrders()
+	return o.Stored
+}
+
 // start orders a run of the first ready task.
 func (w *fixture) start(node string) {
 	w.ledger.Start(w.ledger.Ready(w.now)[0], w.node(node), "", w.now)
@@ -91,6 +97,65 @@
 	require.Equal(t, []fleet.TaskID{id}, w.ready())
 }
 
+// Guards against a task that runs again after it was done under an earlier leader, because
+// the end was listed, and acknowledged, before the new leader knew the job.
+func TestEndListedBeforeItsJobIsKnown(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	id := taskOf("late")
+	w.list("a", nil, w.end("a", id, 1, fleet.EndDone))
+	w.list("b", nil)
+	require.Zero(t, w.stored("a"), "the next leader would not hear of the end")
+	job := w.add("late", true, one())
+	require.Empty(t, w.ready(), "the task is done")
+	require.Equal(t, Done, job.Final)
+	require.Zero(t, w.stored("a"), "the end is not stored")
+	w.store()
+	require.EqualValues(t, 1, w.stored("a"))
+}
+
+// Guards against more runs than attempts when failed ends are listed before their job is
+// known.
+func TestFailuresListedBeforeTheirJobIsKnownCount(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	id := taskOf("late")
+	w.list("a", nil, w.end("a", id, 1, fleet.EndFailed))
+	w.list("b", nil, w.end("b", id, 2, fleet.EndFailed))
+	job := w.add("late", true, one())
+	require.Equal(t, Failed, job.Final)
+}
+
+// Guards against ends that are kept for good because their job was removed: an executor
+// lists a limited number of them.
+func TestEndOfARemovedJobIsAcknowledged(t *testing.T) {
+	w := newFixture(t, "a")
+	known := taskOf("known")
+	w.add("known", true, one())
+	w.list("a", nil, w.end("a", taskOf("removed"), 1, fleet.EndDone), w.end("a", known, 1, fleet.EndDone))
+	w.store()
+	w.ledger.JobsKnown(w.now)
+	require.Zero(t, w.stored("a"), "the job may have been stored just before the list")
+	w.ledger.JobsKnown(w.now.Add(time.Nanosecond))
+	require.EqualValues(t, 2, w.stored("a"))
+}
+
+// Guards against ends of a new instance that are acknowledged before they are stored,
+// because the one before had listed more of them.
+func TestEndOfAnEarlierInstanceListedBeforeItsJobIsKnown(t *testing.T) {
+	w := newFixture(t, "a")
+	id := taskOf("late")
+	w.ends["a"] = 8
+	w.listInstance("a", 1, nil, w.end("a", id, 1, fleet.EndDone))
+	w.ends["a"] = 0
+	w.listInstance("a", 2, nil, w.end("a", taskOf("other"), 1, fleet.EndDone))
+	job := w.add("late", true, one())
+	require.Equal(t, Done, job.Final)
+	w.store()
+	require.Zero(t, w.stored("a"))
+	w.add("other", true, one())
+	w.store()
+	require.EqualValues(t, 1, w.stored("a"))
+}
+
 // Guards against a run after the last attempt when a new leader reads the failed
 // ends of two runs in the order of the nodes instead of the runs.
 func TestFailuresReadOutOfOrderCountBoth(t *testing.T) {
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -165,7 +165,9 @@
 // AddFinal adds a job whose stored state is final, without its tasks.
 func (l *Ledger) AddFinal(id string, state JobState, revision uint64, now time.Time) {
 	if l.Jobs[id] == nil {
-		l.Jobs[id] = &Job{Job: fleet.Job{ID: id}, Started: true, Final: state, FinalAt: now, revision: revision}
+		job := &Job{Job: fleet.Job{ID: id}, Started: true, Final: state, FinalAt: now, revision: revision}
+		l.Jobs[id] = job
+		l.applyEarlyEnds(job, now)
 	}
 }
 
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -325,7 +325,17 @@
 	if run := n.Runs[e.Task]; run != nil && run.Number == e.Run {
 		delete(n.Runs, e.Task)
 	}
-	if job := l.Jobs[e.Task.Job]; job != nil && job.Final != "" {
+	if l.Jobs[e.Task.Job] == nil {
+		l.keepEnd(n, e, now)
+		return
+	}
+	l.applyKnownEnd(n, e, now)
+}
+
+// applyKnownEnd applies an end of a run of a known job. Its number is 0 if the instance
+// that listed it has been replaced.
+func (l *Ledger) applyKnownEnd(n *Node, e fleet.End, now time.Time) {
+	if job := l.Jobs[e.Task.Job]; job.Final != "" {
 		l.applyEndOfFinal(job, n, e)
 		return
 	}
@@ -378,11 +388,15 @@
 // waitForStore keeps an end from being acknowledged before the present state of its
 // job is stored.
 func (l *Ledger) waitForStore(job *Job, n *Node, e fleet.End) {
+	if e.Number == 0 {
+		return // nothing is left to acknowledge it to
+	}
 	if job.endedOn == nil {
 		job.endedOn = map[*Node]struct{}{}
 	}
 	job.endedOn[n] = struct{}{}
-	n.unstoredEnds = append(n.unstoredEnds, unstoredEnd{e.Number, job, job.version})
+	i, _ := slices.BinarySearchFunc(n.unstoredEnds, e.Number, func(u unstoredEnd, number uint64) int { return cmp.Compare(u.number, number) })
+	n.unstoredEnds = slices.Insert(n.unstoredEnds, i, unstoredEnd{e.Number, job, job.version})
 }
 
 // countEnd records that an end changes the progress of its job, which is stored
