--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -34,6 +34,7 @@
 	connected     bool
 	outbox        chan *pb.Frame
 	cancel        context.CancelFunc // of the session
+	lastReport    uint64             // number of the latest report of the session; 0: none
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
 	grantedAt     time.Time          // when the latest lease was granted
 	specs         *link.Specs        // that the agent keeps; nil: none
@@ -130,7 +131,7 @@
 			cancel()
 			return
 		}
-		n.connected, n.outbox, n.cancel, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, nil, time.Time{}
+		n.connected, n.outbox, n.cancel, n.lastReport, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, 0, nil, time.Time{}
 		l.holdStarts(name, time.Now())
 	}) {
 		return
@@ -200,6 +201,14 @@
 	if node == nil || !n.connected || l.links[name] != n {
 		return
 	}
+	// A session that ends may drop reports and still bring later ones. The numbers of the
+	// ends in those would stand for the ends in the dropped ones, too.
+	if n.lastReport != 0 && m.GetNumber() != n.lastReport+1 {
+		l.opts.Log.Warn("Report of an agent missed, session closed.", "vm", name, "after", n.lastReport, "number", m.GetNumber())
+		n.cancel() // the agent reports its ends again in the next session
+		return
+	}
+	n.lastReport = m.GetNumber()
 	report, err := link.ReadReport(m)
 	if err != nil {
 		l.opts.Log.Error("Cannot decode the report of an agent, session closed.", "vm", name, "err", err)
--- a/internal/fleet/lead/nodes_test.go
+++ b/internal/fleet/lead/nodes_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/wire"
 )
 
@@ -86,3 +88,33 @@
 	l.applyNode(t.Context(), "vm", fleet.Change{Item: put()}, true)
 	require.NotNil(t, l.links["vm"])
 }
+
+// Guards against ends that are acknowledged although the leader has not received them: a
+// session that ends drops some of the reports that it has brought, and the numbers of ends
+// in later ones cover those of the dropped ones.
+func TestReportAfterADroppedOneIsNotApplied(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	node, session := l.ledger.AddNode("vm"), newNodeLink("")
+	ended := false
+	session.connected, session.cancel = true, func() { ended = true }
+	l.links["vm"] = session
+	report := func(number, end uint64) {
+		e := fleet.End{Number: end, Task: fleet.TaskID{Job: "job", Index: int(end)}, Run: 1, Reason: fleet.EndDone}
+		r := ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true, Ended: []fleet.End{e}}
+		l.handleReport(session, "vm", link.Report(number, r).GetNodeReport())
+	}
+	l.ledger.AddJob(fleet.Job{ID: "job", Steps: []fleet.Step{{Count: 9}}}, false, time.Now())
+	report(7, 1)
+	report(8, 2)
+	require.False(t, ended)
+	report(10, 4)
+	require.True(t, ended)
+	report(11, 5)
+	tasks := l.ledger.Jobs["job"].Occurrences[0].Steps[0].Tasks
+	require.True(t, tasks[2].Done)
+	require.False(t, tasks[4].Done, "the executor drops the end before it once this one is acknowledged")
+	require.False(t, tasks[5].Done)
+
+	orders, _ := node.TakeOrders()
+	require.LessOrEqual(t, orders.Stored, uint64(2))
+}
