--- a/internal/fleet/side/pace.go
+++ b/internal/fleet/side/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -34,7 +35,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	o := &paceOrder{cancel: cancel, done: make(chan struct{})}
 	a.paces[ref] = o
-	e, term := *a.executor, a.term
+	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
 	go func() {
 		defer close(o.done)
 		defer cancel()
@@ -43,7 +44,7 @@
 			<-earlier.done
 			o.unansweredAt = earlier.unansweredAt
 		}
-		a.repeatPace(ctx, s.ctx, e, term, p, o)
+		a.repeatPace(ctx, s.ctx, e, only, term, p, o)
 		a.post(context.Background(), func() {
 			if a.paces[ref] == o {
 				delete(a.paces, ref)
@@ -54,12 +55,14 @@
 
 // repeatPace makes the calls of a pace order until it is in force for good, refused, or ctx
 // ends. The calls themselves end with callCtx.
-func (a *Agent) repeatPace(ctx, callCtx context.Context, e fleet.Executor, term uint64, p ledger.PaceOrder, o *paceOrder) {
+func (a *Agent) repeatPace(ctx, callCtx context.Context, e fleet.Executor, only fleet.InstanceCheck, term uint64, p ledger.PaceOrder, o *paceOrder) {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		result, err := a.opts.Executors.Pace(callCtx, e, term, p.Task, p.Run, p.Percent)
+		result, err := a.opts.Executors.Pace(callCtx, e, only, term, p.Task, p.Run, p.Percent)
 		delay := orderRetryDelay
 		switch {
+		case errors.Is(err, fleet.ErrOtherInstance):
+			return // the run ended with its instance
 		case err != nil || result == fleet.OrderUnknown:
 			o.unansweredAt = sent
 		case result == fleet.OrderBusy: // nothing was done
--- a/internal/fleet/side/pace_test.go
+++ b/internal/fleet/side/pace_test.go
@@ -25,7 +25,7 @@
 	pace       int
 }
 
-func (x *pacedExecutor) Pace(_ context.Context, _ fleet.Executor, _ uint64, _ fleet.TaskID, _, percent int) (fleet.OrderResult, error) {
+func (x *pacedExecutor) Pace(_ context.Context, _ fleet.Executor, _ fleet.InstanceCheck, _ uint64, _ fleet.TaskID, _, percent int) (fleet.OrderResult, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.calls++; x.calls == 1 && x.late > 0 {
