soak: cancel jobs beside every fault, and judge runs of cancelled jobs

The judge of the soak looked at starts of cancelled jobs only from 10 s after the last fault on, and at runs only at the end of a seed, for which it waits up to 25 s.

In each world one more caller now cancels all its jobs, of all kinds, 100 to 400 ms after their acceptance. The earlier check stays.

The new caller draws from a source of its own, so the faults and the earlier jobs of a seed are as before; the machine has more to do.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,12 @@
 	withdrawnShare  = 0.4                    // further jobs per job, lasting and cancelled soon
 	crashingShare   = 0.06                   // further jobs per job that crash executors, in seeds with such jobs
 	maxWithdrawTime = 300 * time.Millisecond // after the acceptance
+
+	// Jobs of callers that cancel all of theirs.
+	meanRecallInterval = 400 * time.Millisecond
+	lastingRecallOneIn = 3                      // the others are of all kinds
+	minRecallTime      = 100 * time.Millisecond // after the acceptance
+	maxRecallTime      = 400 * time.Millisecond
 )
 
 // balancer tracks the readiness of the entries and chooses entries for new
@@ -119,6 +126,9 @@
 	client     *http.Client
 	calls      atomic.Int64
 	unanswered atomic.Int64 // calls whose connection ended without an answer
+
+	mu   sync.Mutex
+	jobs []*sentJob // that are polled
 }
 
 func (f *testFleet) newCaller(b *balancer, seed uint64) *caller {
@@ -262,42 +272,60 @@
 	}
 }
 
-// run submits jobs until stop ends, and polls them until the end of the test.
-func (c *caller) run(stop context.Context, lasting int) {
-	var mu sync.Mutex
-	var jobs []*sentJob
-	go func() {
-		for c.fleet.ctx.Err() == nil {
-			mu.Lock()
-			open := append([]*sentJob{}, jobs...)
-			mu.Unlock()
-			for _, job := range open {
-				c.poll(job)
-			}
-			fleet.Sleep(c.fleet.ctx, pollInterval)
+// pollJobs polls the jobs that the caller has sent until the end of the test.
+func (c *caller) pollJobs() {
+	for c.fleet.ctx.Err() == nil {
+		c.mu.Lock()
+		open := slices.Clone(c.jobs)
+		c.mu.Unlock()
+		for _, job := range open {
+			c.poll(job)
 		}
-	}()
-	send := func(job *sentJob) {
-		c.submit(job)
-		mu.Lock()
-		defer mu.Unlock()
-		jobs = append(jobs, job)
+		fleet.Sleep(c.fleet.ctx, pollInterval)
 	}
+}
+
+// send submits a job, which is polled from then on.
+func (c *caller) send(job *sentJob) {
+	c.submit(job)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs = append(c.jobs, job)
+}
+
+// recall submits jobs until stop ends and cancels each of them soon after its acceptance.
+func (c *caller) recall(stop context.Context) {
+	go c.pollJobs()
+	for stop.Err() == nil {
+		job := c.newJob(c.rng, c.rng.IntN(lastingRecallOneIn) == 0)
+		delay := minRecallTime + time.Duration(c.rng.Int64N(int64(maxRecallTime-minRecallTime)))
+		go func() {
+			c.send(job)
+			fleet.Sleep(c.fleet.ctx, delay)
+			c.cancel(job)
+		}()
+		fleet.Sleep(stop, time.Duration(c.rng.Int64N(int64(2*meanRecallInterval))))
+	}
+}
+
+// run submits jobs until stop ends, and polls them until the end of the test.
+func (c *caller) run(stop context.Context, lasting int) {
+	go c.pollJobs()
 	for i := 0; stop.Err() == nil; i++ {
 		job := c.newJob(c.rng, i < lasting)
-		send(job)
+		c.send(job)
 		if i >= lasting && !job.accepted.IsZero() && c.rng.Float64() < cancelledShare {
 			c.cancel(job)
 		}
 		if c.extra.Float64() < withdrawnShare {
 			// It lasts, so that a missed cancellation shows at the end of the test.
 			withdrawn := c.newJob(c.extra, true)
-			send(withdrawn)
+			c.send(withdrawn)
 			fleet.Sleep(c.fleet.ctx, time.Duration(c.extra.Int64N(int64(maxWithdrawTime))))
 			c.cancel(withdrawn)
 		}
 		if c.crashes && c.crashRng.Float64() < crashingShare {
-			send(c.newCrashingJob())
+			c.send(c.newCrashingJob())
 		}
 		fleet.Sleep(stop, rand.N(2*meanJobInterval))
 	}
--- a/internal/soak/cut_test.go
+++ b/internal/soak/cut_test.go
@@ -56,7 +56,7 @@
 	stopSending := f.sendLongTasks(seed, cutCallers*size.entries/6)
 	fleet.Sleep(ctx, beforeCut)
 	for range cutCount {
-		f.cutLeader(rand.New(rand.NewPCG(f.rng.Uint64(), 6)))
+		f.inject(cutOfLeader, rand.New(rand.NewPCG(f.rng.Uint64(), 6)), 0)
 		fleet.Sleep(ctx, betweenCuts)
 	}
 	f.clearFaults()
@@ -64,6 +64,8 @@
 	f.conclude(f.settle())
 }
 
+var cutOfLeader = disruption{name: "cut of the leader", inject: func(f *testFleet, rng *rand.Rand, _ time.Duration) { f.cutLeader(rng) }}
+
 // sendLongTasks waits for the start of the fleet and starts callers that submit jobs with
 // tasks of 0.5 to 6 s until the returned function is called.
 func (f *testFleet) sendLongTasks(seed uint64, count int) context.CancelFunc {
@@ -79,6 +81,9 @@
 		}
 		go c.run(sending, lasting)
 	}
+	recaller := f.newCaller(b, seed*10+uint64(count))
+	recaller.longTasks = true
+	go recaller.recall(sending)
 	return stop
 }
 
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -126,6 +126,11 @@
 	for _, p := range f.processes() {
 		f.supervise(p)
 	}
+	go func() {
+		for ; ctx.Err() == nil; fleet.Sleep(ctx, checkInterval) {
+			f.checker.checkCancelled()
+		}
+	}()
 	return f
 }
 
@@ -208,6 +213,8 @@
 	go func() {
 		select {
 		case <-instance.CrashedByTask():
+			f.checker.beginFault()
+			defer f.checker.endFault()
 			fleet.Sleep(f.ctx, executorRestartPause+rand.N(executorRestartPause))
 			f.executors[i].ReplaceInstance(instance, f.newInstance(i))
 		case <-f.ctx.Done():
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -19,6 +19,11 @@
 	// contactTime is the time after the last fault in which all processes learn what
 	// they missed, over connections that the faults have left silent as well.
 	contactTime = 10 * time.Second
+	// maxStopTime is the time from maxCancelTime on within which the tasks of a cancelled
+	// job that still run have ended.
+	maxStopTime = 900 * time.Millisecond
+	// steadyDelay is the time after a fault from which the times for cancelled jobs count.
+	steadyDelay = 3 * time.Second
 )
 
 // Limits for tasks that crash executors. A task that has crashed maxCrashes is started
@@ -60,13 +65,16 @@
 
 // startedRun is a run as its executor has started it.
 type startedRun struct {
-	number int
-	term   uint64 // of the leader that ordered it
-	at     time.Time
+	number  int
+	term    uint64 // of the leader that ordered it
+	at      time.Time
+	tooLong bool // reported: it ran on after its job's cancellation
 }
 
 // startOf returns the run that an event has started.
-func startOf(e standin.Event) startedRun { return startedRun{e.Run, e.Fence, time.Now()} }
+func startOf(e standin.Event) startedRun {
+	return startedRun{number: e.Run, term: e.Fence, at: time.Now()}
+}
 
 func (r startedRun) String() string {
 	return fmt.Sprintf("run %d of term %d started %v ago", r.number, r.term, time.Since(r.at).Round(time.Millisecond))
@@ -91,15 +99,18 @@
 // checker checks the guarantees of the fleet against what callers and executors
 // observe, and collects violations.
 type checker struct {
-	mu         sync.Mutex
-	jobs       map[string]*sentJob
-	tasks      map[fleet.TaskID]*taskRecord
-	capacity   map[string]structs.Resources
-	used       map[string]structs.Resources
-	voidedEnds map[instanceID]uint64 // by instance whose lease lapsed: ends up to this number no longer count
-	calmSince  time.Time             // zero while faults are injected
-	violations []string
-	starts     int
+	mu          sync.Mutex
+	jobs        map[string]*sentJob
+	tasks       map[fleet.TaskID]*taskRecord
+	capacity    map[string]structs.Resources
+	used        map[string]structs.Resources
+	voidedEnds  map[instanceID]uint64 // by instance whose lease lapsed: ends up to this number no longer count
+	calmSince   time.Time             // zero while faults are injected
+	faults      int                   // that last at present
+	faultEnded  time.Time             // the last one; zero: there was none
+	longestStop time.Duration         // for which a run of a cancelled job went on in steady state
+	violations  []string
+	starts      int
 }
 
 var _ standin.Observer = (*checker)(nil)
@@ -152,7 +163,8 @@
 		c.addViolation("UNASKED %s run %d on %s", e.Task, e.Run, e.Executor)
 		return
 	}
-	if !job.cancelAcked.IsZero() && !c.calmSince.IsZero() && time.Since(job.cancelAcked) > maxCancelTime && time.Since(c.calmSince) > contactTime {
+	calm := !c.calmSince.IsZero() && time.Since(job.cancelAcked) > maxCancelTime && time.Since(c.calmSince) > contactTime
+	if !job.cancelAcked.IsZero() && (calm || c.steadyTime(job.cancelAcked) > maxCancelTime) {
 		c.addViolation("UNASKED %s run %d on %s, its job's cancellation was acknowledged %v ago", e.Task, e.Run, e.Executor, time.Since(job.cancelAcked).Round(time.Millisecond))
 	}
 	t := c.task(e.Task)
@@ -315,6 +327,56 @@
 	}
 }
 
+// beginFault notes that a fault begins.
+func (c *checker) beginFault() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults++
+}
+
+// endFault notes that a fault has ended.
+func (c *checker) endFault() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults--
+	c.faultEnded = time.Now()
+}
+
+// steadyTime returns how long, since a point in time, no fault has been near; 0 or less if
+// one is. The caller holds mu.
+func (c *checker) steadyTime(since time.Time) time.Duration {
+	if c.faults > 0 {
+		return 0
+	}
+	if steady := c.faultEnded.Add(steadyDelay); !c.faultEnded.IsZero() && steady.After(since) {
+		since = steady
+	}
+	return time.Since(since)
+}
+
+// checkCancelled reports the runs that have gone on for too long after the cancellation of
+// their job.
+func (c *checker) checkCancelled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, t := range c.tasks {
+		job := c.jobs[id.Job]
+		if job == nil || job.cancelAcked.IsZero() {
+			continue
+		}
+		steady := c.steadyTime(job.cancelAcked)
+		for executor, run := range t.running {
+			c.longestStop = max(c.longestStop, steady)
+			if steady > maxCancelTime+maxStopTime && !run.tooLong {
+				c.addViolation("UNASKED %s on %s runs on, its job's cancellation was acknowledged %v ago, no fault is near for %v: %s",
+					id, executor, time.Since(job.cancelAcked).Round(time.Millisecond), steady.Round(time.Millisecond), run)
+				run.tooLong = true
+				t.running[executor] = run
+			}
+		}
+	}
+}
+
 // setCalm marks the end of the faults.
 func (c *checker) setCalm() {
 	c.mu.Lock()
@@ -358,6 +420,14 @@
 	return c.task(id).starts
 }
 
+// longestStopTime returns how long a run of a cancelled job went on with no fault near, at
+// most.
+func (c *checker) longestStopTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.longestStop
+}
+
 // counts returns the number of submitted jobs and of started runs.
 func (c *checker) counts() (jobs, starts int) {
 	c.mu.Lock()
--- a/internal/soak/leave_test.go
+++ b/internal/soak/leave_test.go
@@ -30,7 +30,7 @@
 	t.Cleanup(cancel)
 	stopSending := f.sendLongTasks(seed, callerCount)
 	fleet.Sleep(ctx, beforeCut)
-	f.injectFaults(leaves, false)
+	f.injectFaults(leaves, false, *faultTime)
 	f.clearFaults()
 	stopSending()
 	f.conclude(f.settle())
@@ -40,7 +40,7 @@
 var leaves = []disruption{
 	{"leave of another writer", func(f *testFleet, rng *rand.Rand, _ time.Duration) {
 		_ = pick(rng, f.executors).SendLeave(f.ctx, 0) // of no effect, or refused
-	}},
+	}, false},
 	{"leave before the end", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(len(f.executors))
 		f.executors[i].Drain()
@@ -48,7 +48,7 @@
 		_ = f.executors[i].SendLeave(f.ctx, f.executors[i].Born()) // without an acknowledgement it leaves all the same
 		fleet.Sleep(f.ctx, d)
 		f.startInstance(i)
-	}},
+	}, false},
 	{"leave of an earlier instance", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(len(f.executors))
 		born := f.executors[i].Born()
@@ -57,5 +57,5 @@
 		f.startInstance(i)
 		fleet.Sleep(f.ctx, d)
 		_ = f.executors[i].SendLeave(f.ctx, born) // of no effect
-	}},
+	}, false},
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -128,6 +128,9 @@
 		}
 		go c.run(sending, lasting)
 	}
+	recaller := f.newCaller(b, seed*10+callerCount)
+	callers = append(callers, recaller)
+	go recaller.recall(sending)
 	for _, p := range f.entries {
 		go f.watchVersions(p)
 	}
@@ -139,7 +142,7 @@
 	if planned {
 		kinds = plannedWork
 	}
-	f.injectFaults(kinds, planned)
+	f.injectFaults(kinds, planned, *faultTime)
 	f.clearFaults()
 	stopSending()
 	open, violations := f.settle()
@@ -172,6 +175,7 @@
 	if len(violations)+len(open) > 0 && *logsKept != "" {
 		f.keepLogs(filepath.Join(*logsKept, filepath.FromSlash(f.t.Name())))
 	}
+	f.t.Logf("longest stop of a cancelled run with no fault near: %v", f.checker.longestStopTime().Round(time.Millisecond))
 	for _, violation := range violations {
 		f.t.Error(violation)
 	}
@@ -185,37 +189,38 @@
 type disruption struct {
 	name   string
 	inject func(f *testFleet, rng *rand.Rand, d time.Duration)
+	steady bool // cancelled tasks end in time beside it
 }
 
 // plannedWork holds the planned operations, during which no call may fail.
 var plannedWork = []disruption{
-	{"term entry", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.entries).signal(syscall.SIGTERM) }},
-	{"hangup", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.processes()).signal(syscall.SIGHUP) }},
-	{"configuration", func(f *testFleet, _ *rand.Rand, _ time.Duration) { f.configure() }},
+	{"term entry", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.entries).signal(syscall.SIGTERM) }, false},
+	{"hangup", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.processes()).signal(syscall.SIGHUP) }, true},
+	{"configuration", func(f *testFleet, _ *rand.Rand, _ time.Duration) { f.configure() }, true},
 }
 
 // faults holds the unplanned disruptions.
 var faults = []disruption{
-	{"kill entry", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.entries).signal(syscall.SIGKILL) }},
-	{"kill agent", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.agents).signal(syscall.SIGKILL) }},
-	{"term agent", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.agents).signal(syscall.SIGTERM) }},
+	{"kill entry", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.entries).signal(syscall.SIGKILL) }, false},
+	{"kill agent", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.agents).signal(syscall.SIGKILL) }, false},
+	{"term agent", func(f *testFleet, rng *rand.Rand, _ time.Duration) { pick(rng, f.agents).signal(syscall.SIGTERM) }, false},
 	{"kill all", func(f *testFleet, _ *rand.Rand, _ time.Duration) {
 		for _, p := range f.processes() {
 			p.signal(syscall.SIGKILL)
 		}
-	}},
+	}, false},
 	{"pause", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		p := pick(rng, f.processes())
 		p.signal(syscall.SIGSTOP)
 		fleet.Sleep(f.ctx, d)
 		p.signal(syscall.SIGCONT)
-	}},
+	}, false},
 	{"executor crashes", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(len(f.executors))
 		f.executors[i].Crash()
 		fleet.Sleep(f.ctx, d)
 		f.startInstance(i)
-	}},
+	}, false},
 	{"executor drains", func(f *testFleet, rng *rand.Rand, _ time.Duration) {
 		i := rng.IntN(len(f.executors))
 		f.executors[i].Drain()
@@ -223,9 +228,9 @@
 		_ = f.executors[i].Leave(f.ctx) // the agent may be down
 		fleet.Sleep(f.ctx, time.Second)
 		f.startInstance(i)
-	}},
-	{"store busy", storeFault(storeBusy)}, {"store resets", storeFault(storeReset)}, {"store silent", storeFault(storeSilent)},
-	{"store slow", storeFault(storeSlow)}, {"store loses answers", storeFault(storeLosesAnswers)}, {"store late", storeFault(storeDelaysWrites)},
+	}, true},
+	{"store busy", storeFault(storeBusy), false}, {"store resets", storeFault(storeReset), false}, {"store silent", storeFault(storeSilent), false},
+	{"store slow", storeFault(storeSlow), false}, {"store loses answers", storeFault(storeLosesAnswers), false}, {"store late", storeFault(storeDelaysWrites), false},
 	{"store forgets", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		if rng.IntN(watchesFailOneIn) == 0 {
 			f.store.SetFaults(standin.StoreFaults{Compacted: true})
@@ -240,10 +245,10 @@
 		f.store.DropHistory()
 		f.store.SetFaults(standin.StoreFaults{})
 		f.gate.set(storeNormal)
-	}},
-	{"leader's key removed", func(f *testFleet, _ *rand.Rand, _ time.Duration) { f.store.Remove(fleet.LeaderKey) }},
-	{"store turns one away", proxyFault(func(p *process) *proxy { return p.store })},
-	{"sessions", proxyFault(func(p *process) *proxy { return p.sessions })},
+	}, false},
+	{"leader's key removed", func(f *testFleet, _ *rand.Rand, _ time.Duration) { f.store.Remove(fleet.LeaderKey) }, false},
+	{"store turns one away", proxyFault(func(p *process) *proxy { return p.store }), false},
+	{"sessions", proxyFault(func(p *process) *proxy { return p.sessions }), false},
 }
 
 // forgeAnnouncements has other writers announce to all agents until ctx ends: under the
@@ -305,13 +310,13 @@
 	}
 }
 
-// injectFaults injects random disruptions of some kinds for faultTime and waits for their
+// injectFaults injects random disruptions of some kinds for a time and waits for their
 // end. They may overlap and may be repeated unless they are planned.
-func (f *testFleet) injectFaults(kinds []disruption, planned bool) {
+func (f *testFleet) injectFaults(kinds []disruption, planned bool, total time.Duration) {
 	begin := time.Now()
 	done := make(chan struct{})
 	running := 0
-	for time.Since(begin) < *faultTime {
+	for time.Since(begin) < total {
 		d := pick(f.rng, kinds)
 		length := minFaultTime + time.Duration(f.rng.Int64N(int64(maxFaultTime-minFaultTime)))
 		rng := rand.New(rand.NewPCG(f.rng.Uint64(), 2))
@@ -323,7 +328,7 @@
 		running++
 		go func() {
 			for range repeat {
-				d.inject(f, rng, length)
+				f.inject(d, rng, length)
 			}
 			done <- struct{}{}
 		}()
@@ -338,6 +343,15 @@
 	}
 }
 
+// inject injects one disruption and waits for its end.
+func (f *testFleet) inject(d disruption, rng *rand.Rand, length time.Duration) {
+	if !d.steady {
+		f.checker.beginFault()
+		defer f.checker.endFault()
+	}
+	d.inject(f, rng, length)
+}
+
 // clearFaults ends all faults of the store.
 func (f *testFleet) clearFaults() {
 	f.gate.set(storeNormal)
