--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -80,6 +80,7 @@
 // newBalancer starts the readiness checks of all entries.
 func (f *testFleet) newBalancer() *balancer {
 	b := &balancer{misses: make([]atomic.Int32, len(f.entries))}
+	f.balancer = b
 	for i, p := range f.entries {
 		go func() {
 			client := http.Client{Timeout: readyInterval, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -61,6 +61,7 @@
 	mu          sync.Mutex
 	cmd         *exec.Cmd
 	endExpected bool // the test has sent a signal that ends it
+	away        bool // it is not started again
 	starts      int
 }
 
@@ -81,6 +82,7 @@
 	rng       *rand.Rand
 	size      fleetSize
 	links     map[link]*proxy // of sessions, instead of those of the processes; empty without size.links
+	balancer  *balancer       // nil until callers start
 	versionMu sync.Mutex
 	version   uint64 // version of the newest configuration
 }
@@ -255,6 +257,9 @@
 			if !first {
 				fleet.Sleep(f.ctx, restartPause)
 			}
+			if p.isAway() {
+				continue
+			}
 			f.runOnce(p, func() {
 				if first {
 					close(started)
@@ -308,6 +313,22 @@
 	_ = p.cmd.Process.Signal(s) // the process may have ended
 }
 
+// setAway, switched on, kills the process; it is started again once it is switched off.
+func (p *process) setAway(on bool) {
+	p.mu.Lock()
+	p.away = on
+	p.mu.Unlock()
+	if on {
+		p.signal(syscall.SIGKILL)
+	}
+}
+
+func (p *process) isAway() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.away
+}
+
 // keepLogs copies the logs to a directory that outlives the test.
 func (f *testFleet) keepLogs(to string) {
 	if err := os.CopyFS(to, os.DirFS(f.dir)); err != nil {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -108,6 +108,8 @@
 	calmSince   time.Time             // zero while faults are injected
 	faults      int                   // that last at present
 	faultEnded  time.Time             // the last one; zero: there was none
+	listedEnds  map[instanceID]int    // not acknowledged yet
+	mostListed  int                   // at a time, of one instance
 	longestStop time.Duration         // for which a run of a cancelled job went on in steady state
 	violations  []string
 	starts      int
@@ -118,7 +120,7 @@
 func newChecker() *checker {
 	return &checker{
 		jobs: map[string]*sentJob{}, tasks: map[fleet.TaskID]*taskRecord{},
-		capacity: map[string]structs.Resources{}, used: map[string]structs.Resources{}, voidedEnds: map[instanceID]uint64{},
+		capacity: map[string]structs.Resources{}, used: map[string]structs.Resources{}, voidedEnds: map[instanceID]uint64{}, listedEnds: map[instanceID]int{},
 	}
 }
 
@@ -219,6 +221,10 @@
 	if step == nil {
 		return
 	}
+	if e.Reason != fleet.EndUnknown {
+		c.listedEnds[instanceOf(e)]++
+		c.mostListed = max(c.mostListed, c.listedEnds[instanceOf(e)])
+	}
 	t := c.task(e.Task)
 	if e.Crashing {
 		t.crashes++
@@ -238,6 +244,7 @@
 func (c *checker) Acknowledged(e standin.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listedEnds[instanceOf(e)]--
 	if e.Number <= c.voidedEnds[instanceOf(e)] {
 		return // a lapse between an end and its acknowledgement makes the end void
 	}
@@ -420,12 +427,12 @@
 	return c.task(id).starts
 }
 
-// longestStopTime returns how long a run of a cancelled job went on with no fault near, at
-// most.
-func (c *checker) longestStopTime() time.Duration {
+// extremes returns how long a run of a cancelled job went on with no fault near, and how
+// many ends one executor listed at a time, at most.
+func (c *checker) extremes() (longestStop time.Duration, mostListed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.longestStop
+	return c.longestStop, c.mostListed
 }
 
 // counts returns the number of submitted jobs and of started runs.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -175,7 +175,8 @@
 	if len(violations)+len(open) > 0 && *logsKept != "" {
 		f.keepLogs(filepath.Join(*logsKept, filepath.FromSlash(f.t.Name())))
 	}
-	f.t.Logf("longest stop of a cancelled run with no fault near: %v", f.checker.longestStopTime().Round(time.Millisecond))
+	longestStop, mostListed := f.checker.extremes()
+	f.t.Logf("longest stop of a cancelled run with no fault near: %v, most ends listed by one executor: %d", longestStop.Round(time.Millisecond), mostListed)
 	for _, violation := range violations {
 		f.t.Error(violation)
 	}
