ledger: count the longest lease of an instance that carried out foreign starts

What callers would see: a task that runs twice, while agents of an earlier version are replaced one by one: such an agent has a new instance of its executor carry out a start with a deadline by the clock of the one before.

Cause: the leader counts its own grants only. Once the first lists of an instance that has replaced another one hold a run or an end, a start of before has reached it, as this leader orders nothing from an instance before its lists.

Agents of this version send no such call, so no wait becomes longer in ordinary work. Not covered: a new instance whose lists the leader never gets, and a next leader that learns from the last one only that it does not lead any more; for these the rule of the agent is the only one.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -144,7 +144,7 @@
 func (l *Leader) removeUnreachable(ctx context.Context, now time.Time) {
 	for name, n := range l.ledger.Nodes {
 		link := l.links[name]
-		if link == nil || link.connected || len(n.Runs) > 0 || now.Sub(maxTime(n.ReportedAt, l.began)) < removeNodeAfter || now.Before(n.LeaseUntil) {
+		if link == nil || link.connected || len(n.Runs) > 0 || now.Sub(maxTime(n.ReportedAt, l.began)) < removeNodeAfter || now.Before(n.LeaseEnd()) {
 			continue
 		}
 		txn := l.txn()
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 )
 
@@ -37,6 +38,20 @@
 	require.True(t, old.Exclusive)
 }
 
+// Guards against a handover record that leaves out the lease of an instance which has carried
+// out a start that was called for the one before.
+func TestHandoverCoversLeasesByTheClockOfAnotherInstance(t *testing.T) {
+	l := termOf(predecessor{exclusiveSince: 2}, time.Minute)
+	l.opts.Log, l.opts.Metrics = log.New(io.Discard), NewMetrics(t.Name())
+	n := l.ledger.AddNode("a")
+	for _, instance := range []string{"a@1", "a@2"} {
+		e := &fleet.Executor{Instance: instance, Pool: "pool"}
+		l.ledger.Report(n, ledger.Report{Executor: e, Listed: true, Running: []fleet.Running{{Task: fleet.TaskID{Job: "job"}, Run: 1}}}, startTime)
+	}
+	left := time.Duration(l.handover(startTime).LeaseMs) * time.Millisecond
+	require.GreaterOrEqual(t, left, maxLeaseDuration(handoverMaxLease))
+}
+
 // Guards against assuming short leases when the handover record is missing, cannot be
 // decoded or is that of a leader that has not stepped down.
 func TestPredecessorWithoutHandover(t *testing.T) {
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -132,7 +132,7 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
-	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, Attempts: l.attempts, Log: l.logEvent})
+	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
 	return l
 }
@@ -217,6 +217,9 @@
 // leases are given.
 func (l *Leader) handover(now time.Time) link.Handover {
 	left := max(maxLeaseDuration(executorLease), l.predecessor.maxLease-now.Sub(l.began))
+	for _, n := range l.ledger.Nodes {
+		left = max(left, n.LeaseEnd().Sub(now))
+	}
 	return link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0}
 }
 
--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -139,7 +139,7 @@
 	if n := len(m.leaders); n > 0 {
 		l.term = m.leaders[n-1].term + 1
 	}
-	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
+	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
 		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
 	}})
 	m.tracef("term %d begins", l.term)
--- a/internal/fleet/ledger/explore_test.go
+++ b/internal/fleet/ledger/explore_test.go
@@ -116,7 +116,7 @@
 func (m *model) elect() {
 	m.term++
 	m.ledger = New(Options{
-		Takeover: m.now, MaxLease: modelLease, Attempts: func(*Job) int { return modelAttempts }, Log: func(Event) {},
+		Takeover: m.now, MaxLease: modelLease, LongestLease: modelLease, Attempts: func(*Job) int { return modelAttempts }, Log: func(Event) {},
 	})
 	for _, x := range m.executors {
 		m.ledger.AddNode(x.name)
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -145,9 +145,13 @@
 	Listed     bool      // lists have come in the present session of the agent
 	ReportedAt time.Time // last report
 	ListedAt   time.Time // last report with lists
-	LeaseUntil time.Time // when the last lease of the executor has expired
+	LeaseUntil time.Time // when the last lease that was granted to the executor has expired
 	Runs       map[fleet.TaskID]*Run
 	removed    bool // to be deleted once nothing can run there
+	// replaced is set once the executor has replaced another instance. foreignLeaseUntil is
+	// when a lease has expired that it may have by the clock of that one.
+	replaced          bool
+	foreignLeaseUntil time.Time
 	// lapsed is true if the agent has said in the present session that every lease
 	// of the instance has expired, so that no run of earlier terms goes on.
 	lapsed bool
@@ -178,6 +182,14 @@
 	version uint64
 }
 
+// LeaseEnd returns when every lease of the executor has expired.
+func (n *Node) LeaseEnd() time.Time {
+	if n.foreignLeaseUntil.After(n.LeaseUntil) {
+		return n.foreignLeaseUntil
+	}
+	return n.LeaseUntil
+}
+
 // Changes returns a counter that rises with each report of the node and with each
 // start, stop and end of a run on it.
 func (n *Node) Changes() uint64 { return n.changes }
@@ -220,15 +232,17 @@
 	Nodes map[string]*Node // by name
 	// Settled is true once every run of earlier terms is known or has ended.
 	// Until then tasks of inherited jobs are not started.
-	Settled     bool
-	takeover    time.Time
-	maxLease    time.Duration
-	maxAttempts func(*Job) int
-	log         func(Event)
-	scheduled   []*Occurrence      // of jobs that repeat, not due yet, by due time
-	openSteps   map[*Step]struct{} // steps whose tasks may start
-	unstored    []*Job             // jobs with progress to be stored, longest first
-	pending     map[*Node]struct{} // nodes with a report, orders or acknowledgements since the last TakePending
+	Settled  bool
+	takeover time.Time
+	maxLease time.Duration
+	// longestLease is as in Options.
+	longestLease time.Duration
+	maxAttempts  func(*Job) int
+	log          func(Event)
+	scheduled    []*Occurrence      // of jobs that repeat, not due yet, by due time
+	openSteps    map[*Step]struct{} // steps whose tasks may start
+	unstored     []*Job             // jobs with progress to be stored, longest first
+	pending      map[*Node]struct{} // nodes with a report, orders or acknowledgements since the last TakePending
 	// cancelledEarly holds the times of cancellations of jobs that are not known yet.
 	cancelledEarly map[string]time.Time
 }
@@ -239,6 +253,8 @@
 	// MaxLease is the time after Takeover by which every lease that an earlier
 	// leader gave has expired.
 	MaxLease time.Duration
+	// LongestLease is the time that the longest lease an executor accepts may last.
+	LongestLease time.Duration
 	// Attempts returns the number of failed runs of a task at which the job fails.
 	Attempts func(*Job) int
 	Log      func(Event)
@@ -247,7 +263,7 @@
 // New returns an empty ledger for a term that starts at o.Takeover.
 func New(o Options) *Ledger {
 	return &Ledger{
-		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease,
+		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease, longestLease: o.LongestLease,
 		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 		cancelledEarly: map[string]time.Time{},
 	}
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -24,7 +24,7 @@
 
 func newFixture(t *testing.T, nodes ...string) *fixture {
 	w := &fixture{t: t, now: start, ends: map[string]uint64{}}
-	w.ledger = New(Options{Takeover: start, MaxLease: maxLease, Attempts: func(*Job) int { return 2 }, Log: func(Event) {}})
+	w.ledger = New(Options{Takeover: start, MaxLease: maxLease, LongestLease: maxLease, Attempts: func(*Job) int { return 2 }, Log: func(Event) {}})
 	for _, n := range nodes {
 		w.ledger.AddNode(n)
 	}
--- a/internal/fleet/ledger/proof.go
+++ b/internal/fleet/ledger/proof.go
@@ -34,7 +34,7 @@
 // to a node has ended. Only a term that was confirmed by a call sent after the end of the
 // last one has it: before, a later leader may have extended the lease.
 func lapsedByGrants(n *Node, confirmed time.Time) (proof, bool) {
-	return proof{leaseCounted, n.LeaseUntil}, confirmed.After(n.LeaseUntil)
+	return proof{leaseCounted, n.LeaseEnd()}, confirmed.After(n.LeaseEnd())
 }
 
 // lapsedByReport returns the proof that every lease of the instance has ended, which its
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -103,6 +103,7 @@
 // agent reports a new one.
 func (l *Ledger) newInstance(n *Node, e fleet.Executor, now time.Time) {
 	if n.Executor.Instance != "" {
+		n.replaced = true
 		l.log(Event{What: "executor replaced", Node: n.Name, Reason: n.Executor.Instance + " by " + e.Instance})
 		l.countCrash(n, now)
 	}
@@ -175,7 +176,7 @@
 		}
 		known := n.complete || n.lapsed
 		settled = settled && (known || expired)
-		unproven = unproven || !expired && now.After(n.LeaseUntil) && (awaited || !known && !l.Settled)
+		unproven = unproven || !expired && now.After(n.LeaseEnd()) && (awaited || !known && !l.Settled)
 	}
 	if settled && !l.Settled {
 		l.Settled = true
@@ -204,6 +205,12 @@
 	n.Listed, n.ListedAt = true, now
 	n.lapsedSuspects, n.lapsedLate = nil, nil
 	n.listings++
+	if n.replaced && n.listings == 1 && len(r.Running)+len(r.Ended) > 0 {
+		// This leader has ordered nothing from the instance, so it has carried out a start that
+		// was called for the one before. It has read the deadline by its own clock, which
+		// starts anew.
+		n.foreignLeaseUntil = now.Add(l.longestLease)
+	}
 	if !r.Partial {
 		n.completeListings++
 		n.complete = true
