lead: ask more entries for the configuration, not the same one first

An entry that is cut off with a quarter of the others stayed with an old configuration for more than 4 s now and then: it asked three entries in an attempt, the first of which was always the same, did not remember which one had answered, and all lists of entries have one order.

Now it asks eight, prefers the one that has answered, and each entry has its own order of the others.

--- a/internal/fleet/lead/config.go
+++ b/internal/fleet/lead/config.go
@@ -27,8 +27,9 @@
 	// which configuration is in force. Its watches end after configWatchTimeout.
 	configFresh = configWatchTimeout + 500*time.Millisecond
 	// configPeers is the number of entries that are asked for the configuration in one
-	// attempt. They answer from memory, so that all of them would be asked at once.
-	configPeers = 3
+	// attempt. They answer at once, those that the store does not answer with a refusal:
+	// without a bound each would be asked by all others for as long as an outage lasts.
+	configPeers = 8
 )
 
 // ConfigSource states where the operators' configuration is stored and how to decode
@@ -239,6 +240,7 @@
 		if held := e.held.Load(); held != nil {
 			seen = held.seen
 		}
+		e.peers.prefer(address)
 		asOf = max(asOf, after)
 		e.adopt(item, asOf, seen)
 		return asOf, nil
--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -163,7 +164,10 @@
 		}
 		items, _, err := fleet.ReadAll(ctx, e.direct, fleet.EntryBase)
 		if err == nil {
-			e.peers.set(e.otherAddresses(items))
+			// Entries that are cut off together do not all ask the same one first.
+			addresses := e.otherAddresses(items)
+			rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+			e.peers.set(addresses)
 		}
 		if !written {
 			fleet.Sleep(ctx, campaignRetry)
