lead: bound the calls that an entry makes for others

Entries that lose the store together relay all their calls through the entry that answered last, which made any number of them at a time and answered all of them late. It now makes 24 at a time and refuses the others with "24 calls are relayed already", as not carried out, until its replies are sent. The asker then goes to the next entry.

TestRelayedCallsAreBounded failed before: the call beyond the bound waited until its time was over ("i/o deadline reached") instead of being refused.

--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
@@ -41,6 +44,7 @@
 	direct  fleet.Store // the store without relaying
 	store   *relayStore
 	peers   peers
+	relayed *semaphore.Weighted                                                               // calls for other entries that are under way
 	askPeer func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
 
 	mu     sync.Mutex
@@ -53,6 +57,7 @@
 	e := &Entry{opts: o, listener: listener, source: source, direct: o.Store, peers: peers{sessions: map[string]*wire.Session{}}}
 	e.opts.Config = e.Config
 	e.askPeer = e.peers.ask
+	e.relayed = semaphore.NewWeighted(maxRelayedCalls)
 	e.store = &relayStore{Store: o.Store, relay: e.relayCall}
 	e.opts.Store = e.store
 	return e
@@ -165,6 +170,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	if frame.GetFleetAsk().GetKind() == link.AskStore {
+		if !e.relayed.TryAcquire(1) {
+			refused := storeReply{}.withError(fmt.Errorf("%w: %d calls are relayed already", kv.ErrUnavailable, maxRelayedCalls))
+			if data, err := json.Marshal(refused); err == nil {
+				_ = stream.Send(&pb.Frame{Body: &pb.Frame_FleetReply{FleetReply: &pb.FleetReply{Data: data}}})
+			}
+			return
+		}
+		defer e.relayed.Release(1) // once the reply is sent
+	}
 	reply, err := e.answerAsk(ctx, frame.GetFleetAsk())
 	if err != nil {
 		return
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -27,6 +27,9 @@
 	// while the call relayed through another entry did.
 	directBackoff = 1 * time.Second
 	relayTimeout  = 800 * time.Millisecond
+	// maxRelayedCalls bounds the calls that an entry makes for others at a time. Beyond
+	// it others ask another entry, instead of all the one that answered them last.
+	maxRelayedCalls = 24
 	// downThreshold is the number of consecutive calls without an answer after which
 	// the store counts as unreachable. A single call may be lost.
 	downThreshold = 2
--- a/internal/fleet/lead/relay_test.go
+++ b/internal/fleet/lead/relay_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -360,3 +362,42 @@
 		require.Equal(t, 2, asked)
 	})
 }
+
+// slowGets is a store whose reads wait until release is closed.
+type slowGets struct {
+	fleet.Store
+	begun   chan struct{}
+	release chan struct{}
+}
+
+func (s *slowGets) Get(context.Context, string) (fleet.Item, error) {
+	s.begun <- struct{}{}
+	<-s.release
+	return fleet.Item{}, kv.ErrNotFound
+}
+
+// Guards against an entry that makes any number of calls for others, which then all come
+// late, and against bounds that are never given back.
+func TestRelayedCallsAreBounded(t *testing.T) {
+	store := &slowGets{begun: make(chan struct{}, maxRelayedCalls), release: make(chan struct{})}
+	address := listeningEntry(t, t.Context(), store)
+	many, one := NewEntry(Options{Store: standin.NewStore()}, nil, ConfigSource{}), NewEntry(Options{Store: standin.NewStore()}, nil, ConfigSource{})
+	ask := func(e *Entry) error {
+		reply, err := e.askStore(t.Context(), address, storeCall{Get: "key"})
+		if err != nil {
+			return err
+		}
+		return reply.err()
+	}
+	var wg sync.WaitGroup
+	for range maxRelayedCalls {
+		wg.Go(func() { _ = ask(many) })
+	}
+	for range maxRelayedCalls {
+		<-store.begun
+	}
+	require.ErrorIs(t, ask(one), kv.ErrUnavailable)
+	close(store.release)
+	wg.Wait()
+	require.Eventually(t, func() bool { return errors.Is(ask(one), kv.ErrNotFound) }, time.Minute, time.Millisecond)
+}
