side: read the pools of the configuration once at a time

An agent whose executor is announced with differing pools read the whole configuration at each such announcement, up to one a second from each writer, with a limit of 1 s for the whole read and beside the earlier reads: 240 agents could keep a busy store from answering, and none learned the pool.

It now reads it once at a time, not again for 5 s after a read that has settled nothing, and as long as bytes come (10 s at most). A new instance is not paced.

TestDifferingAnnouncementsReadTheConfigurationOnce counted 20 reads for 20 announcements before, and counts 1 now.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -64,6 +64,8 @@
 	executor       *fleet.Executor
 	adoptedAt      time.Time             // when executor was confirmed
 	poolConfigured bool                  // the configuration has the executor's pool
+	readingPools   bool                  // a read of the configuration is under way
+	nextPoolRead   time.Time             // no read of the configuration begins before
 	candidates     map[string]*candidate // announced instances that are not confirmed yet, by Instance
 	lease          lease
 	lapsed         bool      // every lease of the executor has expired
--- a/internal/fleet/side/announcement.go
+++ b/internal/fleet/side/announcement.go
@@ -20,7 +20,12 @@
 	confirmRetry   = 100 * time.Millisecond
 	// maxCandidates bounds the instances that are asked at the same time.
 	maxCandidates = 16
-	configTimeout = time.Second // for a read of the configuration
+	// configTimeout is for a read of the configuration, which may be large: the client of
+	// the store ends it sooner once no byte comes.
+	configTimeout = 10 * time.Second
+	// configPause is the pause after a read of the configuration that has settled nothing.
+	// Announcements come each second, from each VM.
+	configPause = 5 * time.Second
 )
 
 // candidate is an announced instance of the executor that is being confirmed.
@@ -126,20 +131,21 @@
 func (a *Agent) resolvePool(e fleet.Executor) {
 	current := a.executor.Pool
 	a.opts.Log.Warn("Announcements of an instance differ.", "instance", e.Instance, "pool", e.Pool, "current", current)
-	if a.opts.Pools == nil || a.poolConfigured {
+	if a.opts.Pools == nil || a.poolConfigured || a.readingPools || time.Now().Before(a.nextPoolRead) {
 		return
 	}
+	a.readingPools = true
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), configTimeout)
 		defer cancel()
 		pools, err := a.opts.Pools(ctx)
 		if err != nil {
 			a.opts.Log.Warn("Configuration not read, the pool stays as announced first.", "instance", e.Instance, "err", err)
-			return
 		}
 		_, known := pools[current]
 		_, later := pools[e.Pool]
 		a.post(context.Background(), func() {
+			a.readingPools, a.nextPoolRead = false, time.Now().Add(configPause)
 			if a.executor == nil || a.executor.Instance != e.Instance || a.executor.Pool != current {
 				return
 			}
@@ -209,7 +215,7 @@
 		a.crash = crash{time.Now(), a.given.suspects(a.lease.latest.at)}
 	}
 	a.given = givenRuns{}
-	a.executor, a.adoptedAt, a.poolConfigured = &e, time.Now(), false
+	a.executor, a.adoptedAt, a.poolConfigured, a.nextPoolRead = &e, time.Now(), false, time.Time{}
 	a.instanceUncertain.Store(false)
 	a.nextGeneration()
 	if a.session != nil {
--- a/internal/fleet/side/announcement_test.go
+++ b/internal/fleet/side/announcement_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/kv"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -188,6 +190,41 @@
 	require.True(t, <-draining)
 }
 
+// Guards against agents that read the whole configuration at each announcement of an
+// instance whose pools differ, while the store is too busy to answer the reads before.
+func TestDifferingAnnouncementsReadTheConfigurationOnce(t *testing.T) {
+	a := newAnnouncedAgent(t, &instanceOnly{id: "i-1", born: 1000})
+	var reads atomic.Int64
+	answer := make(chan struct{})
+	a.opts.Pools = func(context.Context) (map[string]fleet.Pool, error) {
+		reads.Add(1)
+		<-answer
+		return nil, kv.ErrUncertain
+	}
+	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+	requireInstance(t, a, "i-1@1000")
+	other := announcementOf("i-1@1000", "i-1", 1000)
+	other.Pool = "other"
+	for range 20 {
+		a.Announce(other)
+	}
+	require.Eventually(t, func() bool { return reads.Load() > 0 }, time.Minute, time.Millisecond)
+	inLoop(a, func() {})
+	close(answer)
+	require.Eventually(t, func() (ended bool) {
+		inLoop(a, func() { ended = !a.readingPools })
+		return ended
+	}, time.Minute, time.Millisecond)
+	for range 20 {
+		a.Announce(other)
+	}
+	inLoop(a, func() {})
+	require.EqualValues(t, 1, reads.Load())
+	inLoop(a, func() { a.nextPoolRead = time.Now() })
+	a.Announce(other)
+	require.Eventually(t, func() bool { return reads.Load() == 2 }, time.Minute, time.Millisecond)
+}
+
 // Guards against the end of an executor that arrives late or comes from another writer and
 // is taken for the end of the runs of the present one, which would be started elsewhere
 // while they go on.
