ledger: repeat an answered stop of a run that stays listed

Within a session the ledger took any answer to a stop as the end of the matter: after a refusal (a fence, an order that isn't understood, another executor under the address) or an answer without effect the run stayed in the state stopping, and no stop followed before the agent's next session, while the lists went on naming it.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -44,14 +44,15 @@
 	PaceSince    time.Time // since when it has worked at Pace
 	// absentFrom is the number of the node's complete listing from which on such a
 	// listing without the run proves that the run does not exist. 0: none proves it.
-	absentFrom    int
-	lastListing   int       // number of the last listing with the run
-	startAnswered bool      // the order to start it has an answer, so the agent no longer repeats it
-	inInstance    bool      // listed after that answer: no try of the order can start it again in a later instance
-	confirmedAt   time.Time // when its start was first answered or listed in the instance
-	survived      bool      // the executor has not crashed at its start
-	withheld      bool      // not ordered from the present instance
-	repeated      bool      // its start was ordered in several sessions
+	absentFrom     int
+	stopAnsweredAt time.Time // of the last stop order; zero: it has no answer
+	lastListing    int       // number of the last listing with the run
+	startAnswered  bool      // the order to start it has an answer, so the agent no longer repeats it
+	inInstance     bool      // listed after that answer: no try of the order can start it again in a later instance
+	confirmedAt    time.Time // when its start was first answered or listed in the instance
+	survived       bool      // the executor has not crashed at its start
+	withheld       bool      // not ordered from the present instance
+	repeated       bool      // its start was ordered in several sessions
 }
 
 // Task is one task of an occurrence of a job.
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -389,6 +389,36 @@
 	require.Empty(t, orders.Stops, "the agent repeats it within the session")
 }
 
+// Guards against a run of a cancelled job that goes on for good after its stop was refused,
+// or was answered without effect.
+func TestStopOfARunThatStaysListedIsRepeated(t *testing.T) {
+	for _, result := range []fleet.OrderResult{fleet.OrderDone, fleet.OrderFenced, fleet.OrderRejected, fleet.OrderGone} {
+		w := newFixture(t, "a")
+		w.list("a", nil)
+		w.add("job", false, one())
+		w.start("a")
+		w.list("a", runningOf(taskOf("job"), 1))
+		require.True(t, w.ledger.Cancel("job", w.now))
+		stop := []RunRef{{taskOf("job"), 1}}
+		for range 2 {
+			orders, _ := w.node("a").TakeOrders()
+			require.Equal(t, stop, orders.Stops, result)
+			answered := Result{Task: taskOf("job"), Run: 1, Stop: true, Result: result}
+			w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Results: []Result{answered}}, w.now)
+			w.now = w.now.Add(stopRepeatDelay)
+			w.list("a", runningOf(taskOf("job"), 1))
+			orders, _ = w.node("a").TakeOrders()
+			require.Empty(t, orders.Stops, "the stop may still be carried out")
+			w.now = w.now.Add(time.Millisecond)
+			w.list("a", runningOf(taskOf("job"), 1))
+		}
+		orders, _ := w.node("a").TakeOrders()
+		require.Equal(t, stop, orders.Stops, result)
+		w.list("a", nil, w.end("a", taskOf("job"), 1, fleet.EndStopped))
+		require.Empty(t, w.node("a").Runs)
+	}
+}
+
 // Guards against progress that a new leader reads differently from what the
 // earlier one stored.
 func TestProgressSurvivesALeader(t *testing.T) {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -19,6 +19,8 @@
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
+	// stopRepeatDelay is longer than a stop takes on any platform.
+	stopRepeatDelay = 1500 * time.Millisecond
 )
 
 // Result is the answer to a start or stop order.
@@ -268,6 +270,11 @@
 	if run.State == Running {
 		run.absentFrom = n.completeListings + absenceListings
 	}
+	if run.State == Stopping && !run.stopAnsweredAt.IsZero() && now.Sub(run.stopAnsweredAt) > stopRepeatDelay {
+		run.stopAnsweredAt = time.Time{}
+		l.log(Event{What: "stop repeated", Task: run.ID, Run: run.Number, Node: n.Name, Reason: "still listed"})
+		l.repeatOrder(run)
+	}
 	if running.Percent != run.Percent {
 		run.Percent, run.ProgressedAt = running.Percent, now
 	}
@@ -459,6 +466,9 @@
 		return
 	}
 	run.startAnswered = run.startAnswered || !r.Stop && r.Result != fleet.OrderUnknown
+	if r.Stop {
+		run.stopAnsweredAt = now
+	}
 	switch {
 	case r.Result == fleet.OrderUnknown, r.Result == fleet.OrderFenced, r.Result == fleet.OrderGone:
 	case r.Stop:
