ledger: order the full pace again after a reconnection

Cause: after a reconnection the pace of a run counted as unknown, and was ordered again, only if the last order was below full. The order back to full was lost with the session like any other, and not repeated.

TestFullPaceIsOrderedAgainAfterAReconnection failed before: no pace was ordered.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -40,6 +40,7 @@
 	Percent      int       // progress
 	Reading      int       // as in fleet.Running
 	Pace         int       // ordered share of full speed in percent; unknownPace: an earlier leader may have ordered one
+	paceOrdered  bool      // a pace was ordered in this term
 	ProgressedAt time.Time // when Percent last changed
 	PaceSince    time.Time // since when it has worked at Pace
 	// absentFrom is the number of the node's complete listing from which on such a
@@ -528,7 +529,7 @@
 	if r.Pace == percent || r.State != Running {
 		return
 	}
-	r.Pace, r.PaceSince = percent, now
+	r.Pace, r.PaceSince, r.paceOrdered = percent, now, true
 	r.Node.orders.Paces = append(r.Node.orders.Paces, PaceOrder{RunRef{r.ID, r.Number}, percent})
 	l.pending[r.Node] = struct{}{}
 }
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -477,6 +477,25 @@
 	}
 }
 
+// Guards against a filling task that stays paused because the order to work at full pace
+// was lost with a session.
+func TestFullPaceIsOrderedAgainAfterAReconnection(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one())
+	w.start("a")
+	w.list("a", runningOf(taskOf("job"), 1))
+	run := w.node("a").Runs[taskOf("job")]
+	w.ledger.Pace(run, 0, w.now)
+	w.ledger.Pace(run, 100, w.now)
+	w.node("a").TakeOrders()
+	w.ledger.Disconnected(w.node("a"))
+	w.list("a", runningOf(taskOf("job"), 1))
+	w.ledger.Pace(run, 100, w.now)
+	orders, _ := w.node("a").TakeOrders()
+	require.Equal(t, []PaceOrder{{RunRef{taskOf("job"), 1}, 100}}, orders.Paces)
+}
+
 // Guards against progress that a new leader reads differently from what the
 // earlier one stored.
 func TestProgressSurvivesALeader(t *testing.T) {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -228,7 +228,7 @@
 		l.applyRunning(n, running, now)
 	}
 	for _, run := range n.Runs {
-		if first && run.Pace != fullPace { // the order for it may be lost with the last session
+		if first && run.paceOrdered { // the last one may be lost with the last session
 			run.Pace = unknownPace
 		}
 		if p, absent := absentFrom(run, r, now); absent {
