ledger: keep ends without effect unacknowledged until their job is stored

An end that was listed again on a VM which was removed and registered anew meanwhile counted as known and was acknowledged, though its first listing was not stored. And progress that is restored after early ends of the job were applied counted as stored with them. The next leader would start the task again.

TestEndWithoutEffectWaitsForTheProgress failed before: acknowledged up to 1, not 0.

--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -496,6 +496,25 @@
 	require.Equal(t, []PaceOrder{{RunRef{taskOf("job"), 1}, 100}}, orders.Paces)
 }
 
+// Guards against an end that is listed again and acknowledged before it is stored.
+func TestEndWithoutEffectWaitsForTheProgress(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one(), one())
+	w.start("a")
+	end := w.end("a", taskOf("job"), 1, fleet.EndDone)
+	w.list("a", runningOf(taskOf("job"), 1))
+	w.list("a", nil, end)
+	w.ledger.RemoveNode("a")
+	w.ledger.AddNode("a")
+	w.list("a", nil, end)
+	orders, _ := w.node("a").TakeOrders()
+	require.Zero(t, orders.Stored)
+	w.store()
+	orders, _ = w.node("a").TakeOrders()
+	require.Equal(t, end.Number, orders.Stored)
+}
+
 // Guards against progress that a new leader reads differently from what the
 // earlier one stored.
 func TestProgressSurvivesALeader(t *testing.T) {
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -197,7 +197,7 @@
 }
 
 func (l *Ledger) restore(job *Job, value []byte, revision uint64, now time.Time) error {
-	id := job.ID
+	id, changed := job.ID, job.version > 0 // by ends that were listed before the job was known
 	var p progress
 	if err := json.Unmarshal(value, &p); err != nil {
 		return fmt.Errorf("stored progress of job %s: %w", id, err)
@@ -227,7 +227,9 @@
 	if job.Final != "" { // all tasks are stored as done, but the final state is not stored
 		return nil
 	}
-	job.storedVersion = job.version
+	if !changed {
+		job.storedVersion = job.version
+	}
 	return nil
 }
 
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -381,6 +381,9 @@
 	}
 	if t == nil || t.Done || other {
 		l.log(Event{What: "end without effect", Task: e.Task, Run: e.Run, Node: n.Name, Reason: e.Reason.String()})
+		if t != nil { // the first listing of the end may not be stored yet
+			l.waitForStore(t.Step.Job, n, e)
+		}
 		return
 	}
 	l.countEnd(t, n, e, "end")
@@ -448,6 +451,7 @@
 // lists of several nodes. A run that was closed before does not count.
 func (l *Ledger) countLateFailure(t *Task, n *Node, e fleet.End, now time.Time) {
 	if t.Done || t.Step.Spec.Lasting || slices.Contains(t.closedRuns, e.Run) || slices.Contains(t.failures, failure{e.Run, n.Name}) {
+		l.waitForStore(t.Step.Job, n, e) // the first listing of the end may not be stored yet
 		return
 	}
 	l.countEnd(t, n, e, "late end")
