lead: apply no report after one that was unreadable or not taken

The check of report numbers had two holes, found by the review: an unreadable report counted as applied, and a report that was dropped as the session ended could be followed by one that was applied. Also, a leader that waits for jobs whose ends are listed asks for the revision at once, as no end of the VM is acknowledged until then.

TestReportAfterAnUnreadableOneIsNotApplied failed before.

--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -150,7 +150,11 @@
 		if report := frame.GetNodeReport(); report != nil {
 			l.opts.Metrics.Reports.Add(1)
 			l.opts.Metrics.ReportBytes.Add(int64(proto.Size(report)))
-			l.post(ctx, func() { l.handleReport(n, name, report) })
+			if !l.post(ctx, func() { l.handleReport(n, name, report) }) {
+				// The session has ended. Later reports would stand for this one, too.
+				l.post(termCtx, func() { l.handleDisconnect(n, name, ctx.Err()) })
+				return
+			}
 		}
 	}
 }
@@ -208,18 +212,21 @@
 		n.cancel() // the agent reports its ends again in the next session
 		return
 	}
-	n.lastReport = m.GetNumber()
 	report, err := link.ReadReport(m)
 	if err != nil {
 		l.opts.Log.Error("Cannot decode the report of an agent, session closed.", "vm", name, "err", err)
 		n.cancel() // the agent reports its ends again in the next session
 		return
 	}
+	n.lastReport = m.GetNumber()
 	if m.GetKeepsSpecs() && n.specs == nil {
 		n.specs = link.NewSpecs()
 	}
 	now := time.Now()
 	l.ledger.Report(node, report, now)
+	if l.jobsAsked.number == 0 && l.ledger.AwaitsJobs() {
+		l.verifySoon()
+	}
 	if report.Listed {
 		n.pendingReport = m.GetNumber()
 		l.planner.applyReport(node, now)
--- a/internal/fleet/lead/nodes_test.go
+++ b/internal/fleet/lead/nodes_test.go
@@ -12,6 +12,7 @@
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/wire"
+	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
 // Guards against orders that are lost and never repeated, and tasks of a VM out of reach
@@ -118,3 +119,27 @@
 	orders, _ := node.TakeOrders()
 	require.LessOrEqual(t, orders.Stored, uint64(2))
 }
+
+// Guards against an end that is acknowledged unseen because it was in a report that could
+// not be read.
+func TestReportAfterAnUnreadableOneIsNotApplied(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	l.ledger.AddNode("vm")
+	session := newNodeLink("")
+	session.connected, session.cancel = true, func() {}
+	l.links["vm"] = session
+	l.ledger.AddJob(fleet.Job{ID: "job", Steps: []fleet.Step{{Count: 9}}}, false, time.Now())
+	report := func(number, end uint64) *pb.NodeReport {
+		e := fleet.End{Number: end, Task: fleet.TaskID{Job: "job", Index: int(end)}, Run: 1, Reason: fleet.EndDone}
+		r := ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true, Ended: []fleet.End{e}}
+		return link.Report(number, r).GetNodeReport()
+	}
+	l.handleReport(session, "vm", report(7, 1))
+	unreadable := report(8, 2)
+	unreadable.Ended[0].Task = "no task"
+	l.handleReport(session, "vm", unreadable)
+	l.handleReport(session, "vm", report(9, 3))
+	tasks := l.ledger.Jobs["job"].Occurrences[0].Steps[0].Tasks
+	require.True(t, tasks[1].Done)
+	require.False(t, tasks[3].Done)
+}
