side: remember unanswered paces over sessions, and repeat them slowly

Found by the review: a pace of an earlier session that is carried out late replaced the newer one for good, as the agent forgot it with the session. And against an executor that refuses connections each paced run was called every 80 ms.

TestLatePaceOfAnEarlierSessionDoesNotStay failed before: pace 100 instead of 20. TestPaceWithoutAnAnswerIsRepeatedSlowly guards the second.

--- a/internal/fleet/side/announcement.go
+++ b/internal/fleet/side/announcement.go
@@ -225,6 +225,7 @@
 	a.lease.addReading(clockReading{clock, time.Now()}, a.opts.MaxLease)
 	clear(a.sentReports)
 	a.cancelOrders()
+	a.forgetPaces()
 	a.hold(0)
 }
 
--- a/internal/fleet/side/pace.go
+++ b/internal/fleet/side/pace.go
@@ -14,21 +14,29 @@
 const (
 	lateCallWindow  = 12 * time.Second // how long after its start such a call may be carried out
 	paceRepeatDelay = time.Second      // between repetitions within it
+	quickPaceTries  = 3                // tries that follow each other at once without an answer
 )
 
-// paceOrder is the latest pace ordered for a run, until no earlier call can replace it any
-// more.
+// paceOrder is the latest pace ordered for a run.
 type paceOrder struct {
 	cancel context.CancelFunc // ends the repetitions, not a call in flight
-	// unansweredAt is when the latest call without an answer was made for the run. Only the
-	// goroutine of the order writes it; the agent reads it once that has ended.
+	done   chan struct{}      // closed once the goroutine of the order has ended
+	// unansweredAt is when the latest call without an answer was made for the run. It is
+	// read once done is closed.
 	unansweredAt time.Time
-	done         chan struct{} // closed once the goroutine has ended
+}
+
+// lateCallsEnd returns when the last call without an answer can no longer be carried out.
+func (o *paceOrder) lateCallsEnd() time.Time {
+	if o.unansweredAt.IsZero() {
+		return time.Time{}
+	}
+	return o.unansweredAt.Add(lateCallWindow)
 }
 
 // setPace sets the pace of a run. It repeats the call until it is answered, and then for as
 // long as an earlier call without an answer may still be carried out. A later order for the
-// run takes its place.
+// run takes its place, also in a later session.
 func (a *Agent) setPace(s *session, p ledger.PaceOrder) {
 	ref := p.RunRef
 	earlier := a.paces[ref]
@@ -37,7 +45,6 @@
 	a.paces[ref] = o
 	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
 	go func() {
-		defer close(o.done)
 		defer cancel()
 		if earlier != nil {
 			earlier.cancel()
@@ -45,21 +52,36 @@
 			o.unansweredAt = earlier.unansweredAt
 		}
 		a.repeatPace(ctx, s.ctx, e, only, term, p, o)
-		a.post(context.Background(), func() {
-			if a.paces[ref] == o {
-				delete(a.paces, ref)
-			}
+		close(o.done)
+		time.AfterFunc(time.Until(o.lateCallsEnd()), func() {
+			a.post(context.Background(), func() {
+				if a.paces[ref] == o {
+					delete(a.paces, ref)
+				}
+			})
 		})
 	}()
 }
 
+// forgetPaces ends all pace orders, for a new instance of the executor: no run of the one
+// before is on it.
+func (a *Agent) forgetPaces() {
+	for _, o := range a.paces {
+		o.cancel()
+	}
+	clear(a.paces)
+}
+
 // repeatPace makes the calls of a pace order until it is in force for good, refused, or ctx
 // ends. The calls themselves end with callCtx.
 func (a *Agent) repeatPace(ctx, callCtx context.Context, e fleet.Executor, only fleet.InstanceCheck, term uint64, p ledger.PaceOrder, o *paceOrder) {
-	for ctx.Err() == nil {
+	for tries := 1; ctx.Err() == nil; tries++ {
 		sent := time.Now()
 		result, err := a.opts.Executors.Pace(callCtx, e, only, term, p.Task, p.Run, p.Percent)
-		delay := orderRetryDelay
+		delay := paceRepeatDelay
+		if tries < quickPaceTries {
+			delay = orderRetryDelay
+		}
 		switch {
 		case errors.Is(err, fleet.ErrOtherInstance):
 			return // the run ended with its instance
@@ -68,7 +90,7 @@
 		case result == fleet.OrderBusy: // nothing was done
 		case result != fleet.OrderDone:
 			return // the run has ended, or another leader orders its pace
-		case o.unansweredAt.IsZero() || time.Since(o.unansweredAt) > lateCallWindow:
+		case !time.Now().Before(o.lateCallsEnd()):
 			return
 		default:
 			delay = paceRepeatDelay
--- a/internal/fleet/side/pace_test.go
+++ b/internal/fleet/side/pace_test.go
@@ -44,17 +44,26 @@
 	x.pace = percent
 }
 
-// order has an agent on the executor set paces one after another, each after a delay, and
-// returns the pace in force long after.
-func (x *pacedExecutor) order(t *testing.T, percents ...int) int {
+// order has an agent on the executor set paces one after another, each after a delay and,
+// if asked for, in a session of its own. It returns the pace in force long after.
+func (x *pacedExecutor) order(t *testing.T, sessions bool, percents ...int) int {
 	a, _ := newTestAgent(t)
 	a.opts.Executors = x
+	ctx, end := context.WithCancel(t.Context())
 	for _, percent := range percents {
+		if sessions {
+			end()
+			time.Sleep(300 * time.Millisecond)
+			ctx, end = context.WithCancel(t.Context())
+		}
+		sessionCtx := ctx
 		a.post(t.Context(), func() {
+			a.session = &session{ctx: sessionCtx}
 			a.setPace(a.session, ledger.PaceOrder{RunRef: ledger.RunRef{Task: fleet.TaskID{Job: "job"}, Run: 1}, Percent: percent})
 		})
 		time.Sleep(500 * time.Millisecond)
 	}
+	defer end()
 	time.Sleep(time.Minute)
 	left := make(chan int)
 	a.post(t.Context(), func() { left <- len(a.paces) })
@@ -69,7 +78,7 @@
 func TestPaceIsRepeatedUntilItIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &pacedExecutor{unanswered: 10, pace: 100}
-		require.Equal(t, 20, x.order(t, 20))
+		require.Equal(t, 20, x.order(t, false, 20))
 	})
 }
 
@@ -77,7 +86,24 @@
 func TestLatePaceDoesNotReplaceANewerOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := &pacedExecutor{unanswered: 1, late: 6 * time.Second, pace: 100}
-		require.Equal(t, 20, x.order(t, 100, 20))
+		require.Equal(t, 20, x.order(t, false, 100, 20))
 		require.Less(t, x.calls, 20)
 	})
 }
+
+// Guards against a pace of an earlier session that is carried out late and stays in force.
+func TestLatePaceOfAnEarlierSessionDoesNotStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &pacedExecutor{unanswered: 1, late: 6 * time.Second, pace: 100}
+		require.Equal(t, 20, x.order(t, true, 100, 20))
+	})
+}
+
+// Guards against an executor that is called without a pause while it does not answer.
+func TestPaceWithoutAnAnswerIsRepeatedSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &pacedExecutor{unanswered: 40}
+		x.order(t, false, 20)
+		require.Less(t, x.calls, 60)
+	})
+}
