--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -34,10 +34,19 @@
 // cancelOrders cancels all orders in progress. The leader repeats those that it
 // still wants. A call in flight may be carried out, so the starts stay unanswered.
 func (a *Agent) cancelOrders() {
+	starts, stops := 0, 0
 	for ref, o := range a.orders {
+		if o.stop {
+			stops++
+		} else {
+			starts++
+		}
 		o.cancel()
 		delete(a.orders, ref)
 	}
+	if starts+stops > 0 {
+		a.opts.Log.Info("Orders without an answer dropped.", "starts", starts, "stops", stops)
+	}
 }
 
 // withdrawStarts keeps the start orders that have no answer yet from being called
