lead: ask other entries on after a relayed first read of the configuration

An entry that started while the store did not answer it, and had its first configuration from another entry, then waited for the store as if it answered: 2.7 s until the watch failed, and most of 4 s until it heard of a new version. It now goes on as after a failure, with short watches and the other entries.

TestConfigurationOfAnEntryThatStartsCutOff failed before ("1 of 2 entries without version 2" after 2 s). go test -race ./internal/fleet/lead passed but for TestSuspectsWaitBounded/11_VMs,_10_deadly (wait 12.39 s, 12 s allowed), which fails on the untouched as well, in 5 of 60 plays: a fleet simulated on the planner alone, which this changes nothing of.

--- a/internal/fleet/lead/config.go
+++ b/internal/fleet/lead/config.go
@@ -73,8 +73,8 @@
 		whole := after == 0
 		switch {
 		case whole:
-			after, err = e.readConfig(ctx)
-			direct = failures == 0 // a history that is dropped again and again resets nothing
+			after, direct, err = e.readConfig(ctx)
+			direct = direct && failures == 0 // a history that is dropped again and again resets nothing
 		case failures == 0:
 			after, err = e.awaitConfig(ctx, after, configWatchTimeout)
 			direct = err == nil
@@ -86,6 +86,7 @@
 			failures = 0
 			continue
 		case err == nil && whole:
+			failures = max(failures, 1)
 			continue
 		case err == nil: // relayed
 			failures = 1
@@ -120,24 +121,24 @@
 }
 
 // readConfig reads the configuration whole, from the store or else from another entry,
-// and returns the revision from which to watch it. The client of the store ends the read
-// once no byte has come for a while; a limit of the whole read would have a busy store
-// send the same bytes again.
-func (e *Entry) readConfig(ctx context.Context) (uint64, error) {
+// and returns the revision from which to watch it. direct reports that the store has
+// answered. The client of the store ends the read once no byte has come for a while; a
+// limit of the whole read would have a busy store send the same bytes again.
+func (e *Entry) readConfig(ctx context.Context) (after uint64, direct bool, err error) {
 	item, err := e.direct.Get(ctx, e.source.Key)
 	if err == nil {
 		asOf := max(item.Revision, item.AsOf) // the store may have dropped the history after the revision
 		e.adopt(item, asOf, sinceStart())
-		return asOf, nil
+		return asOf, true, nil
 	}
 	if !isOutage(err) || ctx.Err() != nil {
-		return 0, err
+		return 0, false, err
 	}
 	after, relayed := e.relayedConfig(ctx, 0)
 	if relayed != nil {
-		return 0, fmt.Errorf("%w; %w", err, relayed)
+		return 0, false, fmt.Errorf("%w; %w", err, relayed)
 	}
-	return after, nil
+	return after, false, nil
 }
 
 // awaitConfig watches the configuration directly and returns the revision from which to
--- a/internal/fleet/lead/config_test.go
+++ b/internal/fleet/lead/config_test.go
@@ -420,6 +420,43 @@
 	})
 }
 
+// Guards against an entry that starts while it is cut off and hears of new versions only
+// after it has waited for the store again.
+func TestConfigurationOfAnEntryThatStartsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		s, cut := newLinkStore(), newLinkStore()
+		cut.Store = s.Store
+		cut.setOutage(true)
+		writeConfig(t, s.Store, 1, testConfigSize)
+		entries := followingEntries(ctx, []fleet.Store{s, cut})
+		requireVersion(t, entries, 1, applyLimit)
+		writeConfig(t, s.Store, 2, testConfigSize)
+		requireVersion(t, entries, 2, configWatchTimeout)
+	})
+}
+
+// Guards against growing waits that stop growing, or grow without a bound.
+func TestConfigurationWaitsGrowToABound(t *testing.T) {
+	for _, c := range []struct {
+		failures    int
+		probe       time.Duration
+		least, most time.Duration
+		mostWhole   time.Duration
+	}{
+		{1, minConfigProbe, minConfigPause / 2, minConfigPause, minConfigPause},
+		{2, 2 * minConfigProbe, minConfigPause, 2 * minConfigPause, 2 * minConfigPause},
+		{100, maxConfigProbe, maxConfigPause / 2, maxConfigPause, maxConfigReadPause},
+	} {
+		require.Equal(t, c.probe, configProbe(c.failures))
+		require.Equal(t, c.least, configPause(c.failures, false, 0))
+		require.Equal(t, c.most, configPause(c.failures, false, 1))
+		require.Equal(t, c.mostWhole, configPause(c.failures, true, 1))
+	}
+}
+
 // Guards against an entry that states an old configuration as the one in force while the
 // store does not answer it either.
 func TestConfigurationIsNotRelayedDuringAnOutage(t *testing.T) {
