lead: test leaders beside entries that stand still and late writes of the store

TestFrozenLeadersAndLateWrites draws entries that stand still for 3 to 7 s once a renewal is answered, writes without an answer that are carried out never, at once or 1 to 6 s later, slow watches, and an agent or executor that starts anew. An entry stands still at its borders only, which the test states. TestTwoLeadersAtOnce plays what it did.

--- a/internal/fleet/lead/cutnet_test.go
+++ b/internal/fleet/lead/cutnet_test.go
@@ -150,6 +150,18 @@
 	process string
 	cut     atomic.Int32
 	check   *cutChecker
+
+	late         atomic.Pointer[lateWrites]    // nil: all writes are answered
+	watchDelay   atomic.Int64                  // of the answers to watches
+	frozen       atomic.Pointer[chan struct{}] // while set, nothing passes until it is closed
+	freezeOnKeep atomic.Pointer[chan struct{}] // becomes frozen once a renewal is answered
+}
+
+// awaitThaw waits while the process stands still.
+func (s *cutStore) awaitThaw() {
+	for thaw := s.frozen.Load(); thaw != nil; thaw = s.frozen.Load() {
+		<-*thaw
+	}
 }
 
 var _ fleet.Store = (*cutStore)(nil)
@@ -157,6 +169,8 @@
 // callStore makes a call by way of the cut.
 func callStore[T any](ctx context.Context, s *cutStore, call func() (T, error)) (T, error) {
 	var none T
+	s.awaitThaw()
+	defer s.awaitThaw()
 	if ctx.Err() != nil {
 		return none, fmt.Errorf("%w: %w", kv.ErrUnavailable, ctx.Err()) // not sent
 	}
@@ -218,6 +232,7 @@
 	}
 	got, err := callStore(ctx, s, func() (answer, error) {
 		changes, next, err := s.Store.Watch(ctx, prefix, after, wait)
+		fleet.Sleep(ctx, time.Duration(s.watchDelay.Load()))
 		return answer{changes, next}, err
 	})
 	if err != nil {
@@ -234,7 +249,7 @@
 // Commit implements fleet.Store.
 func (s *cutStore) Commit(ctx context.Context, txn fleet.Txn) (uint64, error) {
 	sent := time.Now()
-	revision, err := callStore(ctx, s, func() (uint64, error) { return s.Store.Commit(ctx, txn) })
+	revision, err := writeStore(ctx, s, func() (uint64, error) { return s.Store.Commit(ctx, txn) })
 	var conflict *fleet.ConflictError
 	if errors.As(err, &conflict) {
 		routed := &fleet.ConflictError{}
@@ -264,18 +279,24 @@
 
 // GrantLease implements fleet.Store.
 func (s *cutStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
-	return callStore(ctx, s, func() (uint64, error) { return s.Store.GrantLease(ctx, ttl) })
+	return writeStore(ctx, s, func() (uint64, error) { return s.Store.GrantLease(ctx, ttl) })
 }
 
 // KeepLease implements fleet.Store.
 func (s *cutStore) KeepLease(ctx context.Context, lease uint64) error {
-	_, err := callStore(ctx, s, func() (struct{}, error) { return struct{}{}, s.Store.KeepLease(ctx, lease) })
+	_, err := writeStore(ctx, s, func() (struct{}, error) {
+		err := s.Store.KeepLease(ctx, lease)
+		if thaw := s.freezeOnKeep.Load(); thaw != nil {
+			s.frozen.CompareAndSwap(nil, thaw)
+		}
+		return struct{}{}, err
+	})
 	return err
 }
 
 // EndLease implements fleet.Store.
 func (s *cutStore) EndLease(ctx context.Context, lease uint64) error {
-	_, err := callStore(ctx, s, func() (struct{}, error) { return struct{}{}, s.Store.EndLease(ctx, lease) })
+	_, err := writeStore(ctx, s, func() (struct{}, error) { return struct{}{}, s.Store.EndLease(ctx, lease) })
 	return err
 }
 
--- a/internal/fleet/lead/cuts_test.go
+++ b/internal/fleet/lead/cuts_test.go
@@ -27,6 +27,7 @@
 var (
 	cutsFirst  = flag.Uint64("cuts.first", 1, "first seed of TestTwoLeadersAtOnce")
 	cutsMixes  = flag.Int("cuts.mixes", 12, "number of seeds of TestTwoLeadersAtOnce")
+	cutsLate   = flag.Int("cuts.late", lateMixes, "number of seeds of TestFrozenLeadersAndLateWrites")
 	cutsAtOnce = flag.Int("cuts.parallel", 16, "fleets that TestTwoLeadersAtOnce plays at the same time")
 	cutsLogs   = flag.String("cuts.logs", "", "directory for the logs of fleets with violations")
 )
@@ -66,6 +67,7 @@
 	agentStore []bool        // by agent: its store is cut as well
 	changes    []cutChange
 	length     time.Duration
+	late       *lateMix // played instead of the cut; nil: none
 }
 
 // cutChange is something that happens to an agent during the cut.
@@ -124,6 +126,9 @@
 func drawLinkCut(r *rand.Rand) linkCut { return linkCut(1 + r.IntN(int(linkCutKinds)-1)) }
 
 func (m cutMix) String() string {
+	if m.late != nil {
+		return fmt.Sprintf("late seed %d: %v, %+v", m.seed, m.late, m.changes)
+	}
 	var agents []string
 	for i, stays := range m.stays {
 		if stays {
@@ -209,7 +214,9 @@
 	for i := range cutAgents {
 		s := &cutSide{name: fmt.Sprintf("vm-%d", i)}
 		p.sides = append(p.sides, s)
-		listener := listen(t)
+		// Proxies that open while the agent is restarted must not get its port.
+		listener, err := net.Listen("tcp", "127.0.0.2:0")
+		require.NoError(t, err)
 		p.net.add(s.name, listener)
 		s.address = listener.Addr().String()
 		p.startSide(s, listener, true)
@@ -251,6 +258,9 @@
 	_, _ = fmt.Fprintf(h, "%d %s %d", p.mix.seed, o.Task, o.Run) // never fails
 	r := rand.New(rand.NewPCG(h.Sum64(), 1))
 	longest := 9 * time.Second
+	if p.mix.late != nil {
+		longest = lateRunTime
+	}
 	if o.Run > 1 || o.Task.Step > 0 {
 		longest = 2 * time.Second
 	}
@@ -366,6 +376,9 @@
 // cut cuts the first domain off.
 func (p *cutPlay) cut() {
 	p.check.beginCut()
+	if p.mix.late != nil {
+		return
+	}
 	for i := range cutEntries / 2 {
 		p.stores[entryName(i)].cut.Store(int32(p.mix.store))
 	}
@@ -406,6 +419,11 @@
 	ctx, cancel := context.WithTimeout(ctx, p.mix.length)
 	defer cancel()
 	var wg sync.WaitGroup
+	every := cutSubmissions
+	if p.mix.late != nil {
+		every = lateSubmission
+		wg.Go(func() { p.mix.late.play(ctx, p) })
+	}
 	if p.mix.keyRemoved {
 		wg.Go(func() {
 			fleet.Sleep(ctx, p.mix.keyAfter)
@@ -421,7 +439,7 @@
 	})
 	for n := 0; ctx.Err() == nil; n++ {
 		wg.Go(func() { p.submitJob(ctx, p.entries[n%cutEntries], jobOf(fmt.Sprintf("during-%d", n), 2)) })
-		fleet.Sleep(ctx, cutSubmissions)
+		fleet.Sleep(ctx, every)
 	}
 	wg.Wait()
 }
@@ -506,7 +524,11 @@
 	}
 	p.t.Error(text.String())
 	if *cutsLogs != "" {
-		path := filepath.Join(*cutsLogs, fmt.Sprintf("seed-%d.log", p.mix.seed))
+		kind := "seed"
+		if p.mix.late != nil {
+			kind = "late"
+		}
+		path := filepath.Join(*cutsLogs, fmt.Sprintf("%s-%d.log", kind, p.mix.seed))
 		if err := os.WriteFile(path, []byte(text.String()+strings.Join(p.log.with(""), "\n")), 0o644); err != nil {
 			p.t.Error(err)
 		}
