--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -138,26 +139,18 @@
 	return reply, nil
 }
 
-// maintainPeers writes this entry's address to the store once, and reads those of the
-// others every peerRefreshInterval until ctx ends.
+// maintainPeers keeps this entry's address in the store, and reads those of the others
+// every peerRefreshInterval until ctx ends.
 func (e *Entry) maintainPeers(ctx context.Context) {
 	value, err := json.Marshal(link.EntryRecord{Address: e.opts.Advertise})
 	if err != nil { // a struct of strings always encodes
 		e.opts.Log.Error("Cannot encode this entry's record.", "err", err)
 		return
 	}
-	key := fleet.EntryBase + e.opts.Node
+	record := fleet.Write{Key: fleet.EntryBase + e.opts.Node, Value: value}
 	written := false
 	for ctx.Err() == nil {
-		if !written {
-			_, err := e.direct.Commit(ctx, fleet.Txn{Put: []fleet.Write{{Key: key, Value: value}}})
-			written = err == nil
-		}
-		items, _, err := fleet.ReadAll(ctx, e.direct, fleet.EntryBase)
-		if err == nil {
-			e.peers.set(e.otherAddresses(items))
-		}
-		if !written {
+		if written = e.refreshPeers(ctx, record, written); !written {
 			fleet.Sleep(ctx, campaignRetry)
 			continue
 		}
@@ -165,6 +158,22 @@
 	}
 }
 
+// refreshPeers writes this entry's record unless it is written, reads those of the others,
+// and reports whether the store holds the record. A write of the process before may have
+// replaced it late.
+func (e *Entry) refreshPeers(ctx context.Context, record fleet.Write, written bool) bool {
+	if !written {
+		_, err := e.direct.Commit(ctx, fleet.Txn{Put: []fleet.Write{record}})
+		written = err == nil
+	}
+	items, _, err := fleet.ReadAll(ctx, e.direct, fleet.EntryBase)
+	if err != nil {
+		return written
+	}
+	e.peers.set(e.otherAddresses(items))
+	return written && slices.ContainsFunc(items, func(i fleet.Item) bool { return i.Key == record.Key && bytes.Equal(i.Value, record.Value) })
+}
+
 // otherAddresses returns the addresses in the records of the other entries.
 func (e *Entry) otherAddresses(items []fleet.Item) []string {
 	var addresses []string
--- a/internal/fleet/lead/peers_test.go
+++ b/internal/fleet/lead/peers_test.go
@@ -1,12 +1,16 @@
 package lead
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"sync"
 	"testing"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/link"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 	"vanillalock.example/vanillalock/internal/wire"
@@ -35,3 +39,19 @@
 		}
 	}
 }
+
+// Guards against an entry that no other one relays calls through any more, because the
+// record of its process before, at another address, was written late.
+func TestRecordOfAnEntryThatIsOverwrittenLateIsWrittenAgain(t *testing.T) {
+	store := standin.NewStore()
+	e := NewEntry(Options{Node: "entry", Store: store, Log: log.New(io.Discard)}, nil, ConfigSource{})
+	record := fleet.Write{Key: fleet.EntryBase + "entry", Value: []byte(`{"address":"now"}`)}
+	require.True(t, e.refreshPeers(context.Background(), record, false))
+	_, err := store.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: record.Key, Value: []byte(`{"address":"before"}`)}}})
+	require.NoError(t, err)
+	require.False(t, e.refreshPeers(context.Background(), record, true))
+	require.True(t, e.refreshPeers(context.Background(), record, false))
+	item, err := store.Get(context.Background(), record.Key)
+	require.NoError(t, err)
+	require.Equal(t, record.Value, item.Value)
+}
