soak: late starts whose agent or leader is killed, also without draining

Half of the executors now stay, and the agent or the leader may be killed instead of the sessions being reset.

--- a/internal/soak/cancel_test.go
+++ b/internal/soak/cancel_test.go
@@ -79,18 +79,31 @@
 	{"many ends while the store is away", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		f.endManyRuns(rng, d)
 	}, false},
-	{"late starts on a draining executor", func(f *testFleet, rng *rand.Rand, d time.Duration) {
+	{"late starts", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		i := rng.IntN(len(f.executors))
 		x := f.executors[i]
 		x.SetLateStarts(true)
 		fleet.Sleep(f.ctx, d/2)
-		x.Drain()
-		f.agents[i].sessions.resetConns()
+		drains := rng.IntN(2) == 0
+		if drains {
+			x.Drain()
+		}
+		// What orders the starts forgets them or changes.
+		switch rng.IntN(4) {
+		case 0:
+			f.agents[i].signal(syscall.SIGKILL)
+		case 1:
+			f.leader().signal(syscall.SIGKILL)
+		default:
+			f.agents[i].sessions.resetConns()
+		}
 		fleet.Sleep(f.ctx, d/2)
 		x.SetLateStarts(false)
 		fleet.Sleep(f.ctx, wire.MaxStartDelay)
-		_ = x.Leave(f.ctx) // the agent may be down
-		f.startInstance(i)
+		if drains {
+			_ = x.Leave(f.ctx) // the agent may be down
+			f.startInstance(i)
+		}
 	}, false},
 	{"leader and VMs away", func(f *testFleet, rng *rand.Rand, d time.Duration) {
 		vms := rng.Perm(len(f.agents))[:1+rng.IntN(2)]
