wire: end the receives of a session before its connection is closed

Cause: between the shutdown of a yamux session and the close of its connection a Read of a stream returns to its wait at once. The stack of a spinning agent (SIGQUIT) shows Session.Close in the close of the connection and a Receive in Stream.Read.

Close now ends the receives by their deadline first, and later ones fail at once.

TestReceiveEndsBeforeTheConnectionHasClosed did not end within 9 minutes before; it passes now. Sessions that yamux closes itself keep the short spin.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -71,6 +71,14 @@
 // Session is one connection to another process. It is safe for concurrent use.
 type Session struct {
 	mux *yamux.Session
+
+	mu      sync.Mutex
+	closing bool
+	streams map[*Stream]struct{} // that are open at this end
+}
+
+func newSession(mux *yamux.Session) *Session {
+	return &Session{mux: mux, streams: map[*Stream]struct{}{}}
 }
 
 // Dial connects to a listening process.
@@ -99,7 +107,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	return &Session{mux: mux}, nil
+	return newSession(mux), nil
 }
 
 // Accept starts a session on a connection of a listener, which has done TLS.
@@ -112,8 +120,9 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session: %w", err)
 	}
-	go watch(mux, counted, cmp.Or(cfg.SilenceTimeout, DefaultSilenceTimeout))
-	return &Session{mux: mux}, nil
+	session := newSession(mux)
+	go session.watch(counted, cmp.Or(cfg.SilenceTimeout, DefaultSilenceTimeout))
+	return session, nil
 }
 
 // Listen listens on a TCP address, with TLS if the configuration is not nil.
@@ -134,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
 	}
-	return newStream(stream), nil
+	return s.newStream(stream), nil
 }
 
 // AcceptStream waits for a stream that the peer opens.
@@ -143,11 +152,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
 	}
-	return newStream(stream), nil
+	return s.newStream(stream), nil
 }
 
-// Close closes the session and all its streams.
-func (s *Session) Close() error { return s.mux.Close() }
+// Close closes the session and all its streams. It ends their Receive calls first: yamux
+// has a Read spin from the beginning of the shutdown until the connection is closed.
+func (s *Session) Close() error {
+	s.mu.Lock()
+	s.closing = true
+	for stream := range s.streams {
+		_ = stream.stream.SetReadDeadline(time.Now())
+	}
+	s.mu.Unlock()
+	return s.mux.Close()
+}
 
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} { return s.mux.CloseChan() }
@@ -157,14 +175,29 @@
 
 // Stream carries frames. Send is safe for concurrent use; Receive is not.
 type Stream struct {
+	session *Session
 	counted *atomic.Uint64
 	stream  *yamux.Stream
 	reader  *bufio.Reader
 	sendMu  sync.Mutex
 }
 
-func newStream(stream *yamux.Stream) *Stream {
-	return &Stream{stream: stream, reader: bufio.NewReaderSize(stream, 1024)}
+func (s *Session) newStream(stream *yamux.Stream) *Stream {
+	out := &Stream{session: s, stream: stream, reader: bufio.NewReaderSize(stream, 1024)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[out] = struct{}{}
+	return out
+}
+
+// setReadDeadline sets the deadline of reads, unless Session.Close has ended them.
+func (s *Stream) setReadDeadline(deadline time.Time) error {
+	s.session.mu.Lock()
+	defer s.session.mu.Unlock()
+	if s.session.closing {
+		return ErrClosed
+	}
+	return s.stream.SetReadDeadline(deadline)
 }
 
 // CountTo adds the size of each frame sent or received to total. It is called
@@ -204,7 +237,7 @@
 	if timeout > 0 {
 		deadline = time.Now().Add(timeout)
 	}
-	if err := s.stream.SetReadDeadline(deadline); err != nil {
+	if err := s.setReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
 	}
 	frame, err := ReadFrame(s.reader)
@@ -215,7 +248,12 @@
 }
 
 // Close closes the sending side of the stream.
-func (s *Stream) Close() error { return s.stream.Close() }
+func (s *Stream) Close() error {
+	s.session.mu.Lock()
+	delete(s.session.streams, s)
+	s.session.mu.Unlock()
+	return s.stream.Close()
+}
 
 // ReadFrame decodes one frame of at most MaxFrameBytes.
 func ReadFrame(reader protodelim.Reader) (*pb.Frame, error) {
@@ -299,19 +337,19 @@
 	return len(p), nil
 }
 
-// watch closes a session that receives nothing for the silence timeout.
-func watch(mux *yamux.Session, c *conn, silence time.Duration) {
+// watch closes the session if it receives nothing for the silence timeout.
+func (s *Session) watch(c *conn, silence time.Duration) {
 	const checks = 8 // per silence timeout
 	ticker := time.NewTicker(silence / checks)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-mux.CloseChan():
+		case <-s.Done():
 			return
 		case <-ticker.C:
 		}
 		if time.Since(epoch)-time.Duration(c.received.Load()) >= silence-silence/checks {
-			_ = mux.Close()
+			_ = s.Close()
 			return
 		}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protodelim"
 
@@ -122,3 +123,55 @@
 		}
 	})
 }
+
+// stuckConn is a connection that takes until release is closed to close.
+type stuckConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c stuckConn) Close() error {
+	<-c.release
+	return c.Conn.Close()
+}
+
+// Guards against a receive that keeps a processor busy until the connection of its session,
+// which is being closed, has closed.
+func TestReceiveEndsBeforeTheConnectionHasClosed(t *testing.T) {
+	near, far := net.Pipe()
+	stuck := stuckConn{far, make(chan struct{})}
+	clientMux, err := yamux.Client(near, muxConfig(time.Minute))
+	require.NoError(t, err)
+	client := newSession(clientMux)
+	server, err := Accept(stuck, Config{SilenceTimeout: time.Minute})
+	require.NoError(t, err)
+	out, err := client.Open()
+	require.NoError(t, err)
+	go func() { _ = out.Send(&pb.Frame{}) }()
+	in, err := server.AcceptStream()
+	require.NoError(t, err)
+	_, err = in.Receive(0)
+	require.NoError(t, err)
+	ended := make(chan error)
+	go func() {
+		_, err := in.Receive(0)
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // the receive waits
+	closed := make(chan struct{})
+	go func() {
+		_ = server.Close()
+		close(closed)
+	}()
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(5 * time.Second):
+		t.Error("the receive goes on while the connection is closed")
+	}
+	_, err = in.Receive(0)
+	require.ErrorIs(t, err, ErrClosed)
+	close(stuck.release)
+	<-closed
+	_ = client.Close()
+}
