queue, place: filling jobs in time first, and no more of them than a VM's CPU bears

Cause: (1) filling steps waited in the order of their age, so each job got its turn when it was late already. (2) A filling task that had waited for 1.5 s was placed without regard to CPU: VMs without serving tasks held filling tasks that want 2.0 to 3.0 times their CPU, each progressed at 18% a second instead of 40%.

Change: tasks that can still be in time by the chain that is left go first, late ones behind lasting tasks, those past three times the objective last. Filling jobs go by the share of their work that is left, then the newest. A filling task that has waited may want a tenth of the VM's CPU more than is idle.

Tests changed: TestOrder had filling steps in the order of their age, whatever their objective; it now requires the new order as strictly. The planner's longestChain became chains; its test requires the values for each step.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -23,7 +23,7 @@
 	// assumed to use.
 	assumedUtilization = 0.55
 	// forceAfter is how long a filling task waits for idle CPU before it may be
-	// placed where it gets less than it asks for.
+	// placed where it gets somewhat less than it asks for.
 	forceAfter = 1500 * time.Millisecond
 	// minRunBeforeMove is how long a filling task must have run before it is moved:
 	// a stop and a restart cost about 0.3 s of work.
@@ -174,6 +174,7 @@
 		items[r.Step] = queue.Item{
 			Priority: policy.Priority, Lasting: r.Step.Spec.Lasting, Fills: r.Step.Spec.Fills,
 			Accepted: job.Accepted, Objective: objectiveOf(job, policy),
+			Remaining: chains(job.Steps)[r.Step.Index], WorkLeft: workLeft(r.Step.Occurrence),
 		}
 	}
 	slices.SortStableFunc(ready, func(a, b ledger.ReadyStep) int {
@@ -185,25 +186,42 @@
 // with an allowance for estimates that are too short; 0: none is known.
 func objectiveOf(job *ledger.Job, policy fleet.Policy) time.Duration {
 	const allowance = 1.5
-	chain := longestChain(job.Steps)
-	if chain == 0 || job.Repeats > 0 {
+	if len(job.Steps) == 0 || job.Repeats > 0 {
+		return 0
+	}
+	chain := slices.Max(chains(job.Steps))
+	if chain == 0 {
 		return 0
 	}
 	return time.Duration(allowance*policy.Stretch*float64(chain)) + policy.Objective
 }
 
-// longestChain returns the estimated time of the longest chain of dependent steps.
-func longestChain(steps []fleet.Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i, s := range steps {
-		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
+// chains returns for each step the estimated time of the longest chain of dependent steps
+// that begins with it.
+func chains(steps []fleet.Step) []time.Duration {
+	out := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- { // a step comes after those that it depends on
+		out[i] += steps[i].Estimate
+		for _, before := range steps[i].After {
+			out[before] = max(out[before], out[i])
 		}
-		ends[i] += s.Estimate
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return out
+}
+
+// workLeft returns the share of the estimated work of an occurrence that is left, in
+// core-seconds, or 1 if there are no estimates.
+func workLeft(o *ledger.Occurrence) float64 {
+	left, all := 0.0, 0.0
+	for _, s := range o.Steps {
+		each := float64(s.Spec.Need.MilliCPU) * s.Spec.Estimate.Seconds()
+		left += each * float64(s.Left)
+		all += each * float64(s.Spec.Count)
+	}
+	if all == 0 {
+		return 1
+	}
+	return left / all
 }
 
 // preempt stops filling tasks of lower priority to free the memory that a task
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -65,7 +65,7 @@
 	MaxPerVM  int    // largest number of tasks of the step on a VM; 0: no limit
 	AvoidName string // VM of the last run, if that did not end well
 	Isolated  bool   // goes where the fewest other tasks start and run
-	Forced    bool   // has waited long: accepts a VM with much Trouble, or less CPU than it wants
+	Forced    bool   // has waited long: accepts a VM with much Trouble, or somewhat less CPU than it wants
 }
 
 // Weights of the score in cores: how many free cores offset one unit of each.
@@ -146,7 +146,22 @@
 	if !ReservedWith(t, vm.Reserved).Fits(vm.Capacity) {
 		return false
 	}
-	return !t.Fills || (t.Forced || vm.Spare() >= t.Need.MilliCPU) && isTolerable(t, vm, interference)
+	return !t.Fills || hasIdleCPU(t, vm) && isTolerable(t, vm, interference)
+}
+
+// maxOvercommit is the share of a VM's CPU by which the filling tasks of a VM may want
+// more than is idle. The use by other tasks is an estimate. With more, all of them
+// would be slow, and late, while the VM does no more work in all.
+const maxOvercommit = 0.1
+
+// hasIdleCPU reports whether a filling task finds enough idle CPU on a VM. A forced one
+// may find somewhat less, or be the only filling task.
+func hasIdleCPU(t *Task, vm *VM) bool {
+	missing := t.Need.MilliCPU - vm.Spare()
+	if t.Forced {
+		return vm.Filling == 0 || float64(missing) <= maxOvercommit*float64(vm.Capacity.MilliCPU)
+	}
+	return missing <= 0
 }
 
 // isTolerable reports whether a filling task may run beside the serving tasks of
--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -79,6 +79,24 @@
 	require.Equal(t, -1, Choose(task, []*VM{over}, noInterference))
 }
 
+// Guards against filling tasks that share the CPU of a VM with so many others that all
+// of them are late, and against one that waits for ever for a VM with enough idle CPU.
+func TestFillingTasksDoNotCrowdAVM(t *testing.T) {
+	v := vm("empty", 32)
+	task := &Task{Pool: "pool", Image: "render", Need: cpu(4), Fills: true, Forced: true}
+	tasks := 0
+	for ; Choose(task, []*VM{v}, noInterference) == 0; tasks++ {
+		v.Take(task, 0)
+	}
+	require.Equal(t, 8, tasks, "the tasks have the CPU that they want")
+
+	busy := vm("busy", 32)
+	busy.Busy = 30000
+	require.Equal(t, 0, Choose(task, []*VM{busy}, noInterference))
+	task.Forced = false
+	require.Equal(t, -1, Choose(task, []*VM{busy}, noInterference))
+}
+
 // Guards against serving tasks on all VMs, which leaves none for the filling tasks
 // that disturb every serving image. The load is modelled on the start of a day
 // of a booking service: 54 serving tasks of 3.2 cores on 11 VMs of 16 and 24 cores.
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -1,10 +1,12 @@
 // Package queue orders the steps that wait for VMs. It has no I/O and no clock.
 //
 // It answers a fleet whose capacity is short for a while, such as after a tenth of its
-// VMs have left: lasting tasks keep what they get for minutes, and with the oldest job
-// first, short tasks wait behind them until all of them are late. Instead, what frees
-// up goes to the short tasks that can still be in time, then to lasting tasks, then to
-// short tasks that are late anyway.
+// VMs have left, or after a burst of filling jobs. With the oldest job first, lasting
+// tasks keep what they get for minutes and short tasks wait behind them, and after a
+// burst each job waits until it is late. Instead, what frees up goes to the tasks that
+// can still be in time, then to lasting tasks, then to late tasks, and last to those
+// whose outcome comes too late to be of use. Of filling jobs, those that are nearly through
+// come first, then the newest: if all are begun, all are late.
 package queue
 
 import (
@@ -19,34 +21,59 @@
 	Fills     bool
 	Accepted  time.Time     // when the job was accepted
 	Objective time.Duration // from then on in which the job has to end; 0: none
+	// Remaining is the estimated time of the longest chain of dependent steps from this one on.
+	Remaining time.Duration
+	WorkLeft  float64 // share of the work of the job's occurrence that is left, from 0 to 1
 }
 
-// maxDemotion is the age from which on a late job is no longer put behind others of
-// its priority, so that each job ends.
-const maxDemotion = 30 * time.Second
+// usefulObjectives is the number of objectives after which the outcome of a job is of no
+// use to its caller.
+const usefulObjectives = 3
+
+// Ages from which on a late job is no longer put behind others of its priority, so that
+// each job ends. Filling jobs are longer, and after a burst all of them are that old.
+const (
+	maxDemotion        = 30 * time.Second
+	maxFillingDemotion = 2 * time.Minute
+)
 
 // Ranks of items of one priority.
 const (
 	inTime = iota
 	lasting
 	late
+	tooLate
 )
 
-// rank returns the rank of an item. Filling tasks, which take what the others leave,
-// keep the order of their age.
+// rank returns the rank of an item.
 func (i Item) rank(now time.Time) int {
 	age := now.Sub(i.Accepted)
+	ends := age + i.Remaining
+	putOff := maxDemotion
+	if i.Fills {
+		putOff = maxFillingDemotion
+	}
 	switch {
 	case i.Lasting:
 		return lasting
-	case !i.Fills && i.Objective > 0 && age > i.Objective && age < maxDemotion:
+	case i.Objective <= 0 || ends <= i.Objective || age >= putOff:
+		return inTime
+	case ends <= usefulObjectives*i.Objective:
 		return late
 	default:
-		return inTime
+		return tooLate
 	}
 }
 
-// Compare orders two items: by priority, rank and age.
+// Compare orders two items: by priority and rank, and then by age. Filling tasks come by the
+// share of their work that is left, and of jobs of the same share the newest comes first:
+// the oldest would use up the capacity and be late all the same. Neither favours a size.
 func Compare(a, b Item, now time.Time) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank(now), b.rank(now)), a.Accepted.Compare(b.Accepted))
+	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank(now), b.rank(now))); c != 0 {
+		return c
+	}
+	if a.Fills && b.Fills {
+		return cmp.Or(cmp.Compare(a.WorkLeft, b.WorkLeft), b.Accepted.Compare(a.Accepted))
+	}
+	return a.Accepted.Compare(b.Accepted)
 }
--- a/internal/fleet/queue/queue_test.go
+++ b/internal/fleet/queue/queue_test.go
@@ -131,19 +131,28 @@
 	require.Greater(t, after.feedShare, before.feedShare-0.08)
 }
 
-// Guards against an order that depends on anything but priority, rank and age.
+// Guards against an order that depends on anything but priority, rank, the share of the
+// work of filling jobs that is left, and age.
 func TestOrder(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
 	want := []Item{
-		{Accepted: ago(time.Minute), Objective: time.Second}, // late, but no longer put off
-		{Accepted: ago(20 * time.Second), Fills: true, Objective: time.Second},
+		{Accepted: ago(time.Minute), Objective: time.Second}, // too late, but no longer put off
 		{Accepted: ago(2 * time.Second), Objective: 3 * time.Second},
 		{Accepted: ago(time.Second)},
 		{Accepted: ago(time.Hour), Lasting: true},
 		{Accepted: ago(time.Second), Lasting: true},
 		{Accepted: ago(4 * time.Second), Objective: 3 * time.Second},
-		{Priority: 1, Accepted: ago(time.Minute)},
+		{Accepted: ago(2 * time.Second), Objective: 3 * time.Second, Remaining: 2 * time.Second},
+		{Accepted: ago(20 * time.Second), Objective: 3 * time.Second},
+		{Accepted: ago(9 * time.Second), Objective: 3 * time.Second, Remaining: time.Second},
+		{Priority: 1, Fills: true, Accepted: ago(3 * time.Minute), Objective: time.Second}, // no longer put off
+		{Priority: 1, Fills: true, Accepted: ago(5 * time.Second), Objective: 9 * time.Second, Remaining: 4 * time.Second, WorkLeft: 0.2},
+		{Priority: 1, Fills: true, Accepted: ago(time.Second), Objective: 9 * time.Second, Remaining: 4 * time.Second, WorkLeft: 1},
+		{Priority: 1, Fills: true, Accepted: ago(2 * time.Second), Objective: 9 * time.Second, Remaining: time.Second, WorkLeft: 1},
+		{Priority: 1, Fills: true, Accepted: ago(20 * time.Second), Objective: 9 * time.Second, Remaining: time.Second, WorkLeft: 0.1},
+		{Priority: 1, Fills: true, Accepted: ago(time.Minute), Objective: 9 * time.Second, Remaining: time.Second, WorkLeft: 0.1},
+		{Priority: 2, Accepted: ago(time.Hour)},
 	}
 	got := slices.Clone(want)
 	rand.New(rand.NewPCG(1, 1)).Shuffle(len(got), func(i, j int) { got[i], got[j] = got[j], got[i] })
