lead, place: log why tasks wait for a VM and orders have no outcome

Cause: no line says why a ready task stays without a VM, or that a start or stop has no answer for long.

Change: after a plan, at most twice a second, a task that has been ready for more than 3 s is logged with the number of VMs by the first filter that keeps it off them, and a run that has been starting or stopping for more than 6 s. A step or an order gets one line each 2 s, all together 3 a second; the counters long_waits and long_orders count the rest, too. VMs are described for a line only.

TestLongWaitsAreLogged and TestExplainNamesTheFilter are new; no decision changes.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -142,6 +142,7 @@
 	}
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
+	l.planner.waits = newWaits(o.Log, o.Metrics)
 	return l
 }
 
--- a/internal/fleet/lead/metrics.go
+++ b/internal/fleet/lead/metrics.go
@@ -19,6 +19,8 @@
 	OrderBytes  obs.Counter // of frames to agents
 	Reports     obs.Counter // of agents
 	ReportBytes obs.Counter
+	LongWaits   obs.Counter // steps with a task that has long waited for a VM, again each waitLineEvery
+	LongOrders  obs.Counter // starts and stops that are long without an outcome, in the same way
 }
 
 // NewMetrics returns the metrics of an entry, published under the given name.
@@ -26,6 +28,7 @@
 	set := obs.NewMetrics(name)
 	return &Metrics{
 		set: set, OrderBytes: set.Counter("order_bytes"), Reports: set.Counter("reports"), ReportBytes: set.Counter("report_bytes"),
+		LongWaits: set.Counter("long_waits"), LongOrders: set.Counter("long_orders"),
 		Commit: set.Latency("commit"), Plan: set.Latency("plan"), Loop: set.Latency("loop_delay"), Submit: set.Latency("submit"), State: set.Latency("state"),
 	}
 }
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -65,6 +65,7 @@
 	lastMark       time.Time            // last selection of the VMs kept for filling tasks
 	sizes          probation.Groups     // of the groups in which suspects start
 	suspectGroups  []startedGroup       // whose end is not known
+	waits          *waits               // nil: long waits are not logged
 }
 
 // newPlanner returns a planner of the tasks of a ledger. The functions are those of the
@@ -87,6 +88,7 @@
 // plan stops and moves tasks where needed, then starts the ready tasks that fit on
 // a VM.
 func (p *planner) plan(now time.Time) {
+	defer p.reportWaits(now)
 	p.evictDraining()
 	ready := p.ledger.ReadySteps(now)
 	if len(ready) == 0 && len(p.toMove) == 0 {
