side: end an order without an answer once its deadline has passed

What callers would see: a task that waits, beside room, for as long as an executor lists its runs but answers no start (or refuses, as unhealthy, both the repeated start and the stop that revokes it). The same executor keeps the reservation of the run and, if the task is a suspect of a crash, one of the places for suspects.

Cause: a start without an answer was repeated, and its revocation too, until the executor answered or its lease expired. The lease goes on, as the lists are answered.

Change: a call is refused by the executor after its own deadline, the rule on which the end of a lease rests as well. Calls of earlier sessions and of an earlier process of the agent are covered by their later deadlines. A stop is still sent once the executor answers.

--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -84,8 +84,9 @@
 	unackedDelay time.Duration         // before the next hold while ends are unacknowledged
 	orders       map[ledger.RunRef]*order
 	// unanswered holds the starts of the term without a conclusive answer, also those of
-	// earlier sessions: the executor may carry them out late.
-	unanswered map[ledger.RunRef]struct{}
+	// earlier sessions, with the last deadline of a call: the executor may carry them out
+	// until then.
+	unanswered map[ledger.RunRef]time.Duration
 	holdTimer  *time.Timer
 	given      givenRuns
 	paces      map[ledger.RunRef]*paceOrder
@@ -127,7 +128,7 @@
 func New(o Options) *Agent {
 	return &Agent{
 		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
-		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]struct{}{}, candidates: map[string]*candidate{},
+		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]time.Duration{}, candidates: map[string]*candidate{},
 		given: givenRuns{}, paces: map[ledger.RunRef]*paceOrder{},
 	}
 }
@@ -280,6 +281,7 @@
 		a.handleHoldError(e, err)
 		return
 	}
+	expired := a.endExpiredOrders(lists) // before they could be called again
 	if sent.After(a.uncertainSince) {
 		a.instanceUncertain.Store(false)
 	}
@@ -289,7 +291,7 @@
 	for _, end := range lists.Ended {
 		a.lastListedEnd = max(a.lastListedEnd, end.Number)
 	}
-	a.reportLists(lists)
+	a.reportLists(lists, expired)
 	if a.lastListedEnd > a.ackedEnd {
 		a.scheduleHold(a.unackedDelay)
 		a.unackedDelay = min(2*a.unackedDelay, maxUnackedHoldDelay)
@@ -299,9 +301,10 @@
 }
 
 // reportLists reports the lists of the executor, unless the session has brought
-// them to the leader already. Ends are reported once in a session.
-func (a *Agent) reportLists(lists fleet.RunLists) {
-	results := a.completeListedStarts(lists)
+// them to the leader already, with the results of orders. Ends are reported once in a
+// session.
+func (a *Agent) reportLists(lists fleet.RunLists, results []ledger.Result) {
+	results = append(results, a.completeListedStarts(lists)...)
 	now := time.Now()
 	ended, news := a.session.reported.update(lists, now)
 	if len(ended) > 0 {
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	stop   bool // a stop order; false: a start order
+	// deadline is the last deadline of a call to start the run, on the executor's clock; 0:
+	// not known.
+	deadline time.Duration
 	// withdrawn is set on a start order that must not be called any more.
 	withdrawn atomic.Bool
 }
@@ -31,6 +35,17 @@
 	return unanswered || s.first && time.Since(s.began) < inheritWindow
 }
 
+// lastDeadline returns the last deadline of a call of a start that may be carried out, if it
+// is called with the given one. An earlier process of the agent may have called it with any
+// that it was granted.
+func (a *Agent) lastDeadline(s *session, ref ledger.RunRef, deadline time.Duration) time.Duration {
+	last := max(deadline, a.unanswered[ref])
+	if s.first && time.Since(s.began) < inheritWindow {
+		last = max(last, a.lease.maxDeadline)
+	}
+	return last
+}
+
 // cancelOrders cancels all orders in progress. The leader repeats those that it
 // still wants. A call in flight may be carried out, so the starts stay unanswered.
 func (a *Agent) cancelOrders() {
@@ -95,6 +110,37 @@
 	return results
 }
 
+// endExpiredOrders ends the orders whose run is not listed after the deadline of each call
+// that may start it, and returns their results. The executor refuses these calls from then
+// on, so that neither a call that gets no answer nor a stop that an unhealthy executor
+// refuses has to be repeated.
+func (a *Agent) endExpiredOrders(lists fleet.RunLists) []ledger.Result {
+	var results []ledger.Result
+	for ref, o := range a.orders {
+		if o.deadline == 0 || lists.Clock <= o.deadline+expiryMargin || isListed(lists, ref) {
+			continue
+		}
+		result := fleet.OrderDone
+		if !o.stop {
+			result = fleet.OrderRevoked
+			a.revokeLater(ref)
+		}
+		o.cancel()
+		delete(a.orders, ref)
+		delete(a.unanswered, ref)
+		delete(a.given, ref)
+		a.opts.Log.Info("Order without an answer ended, its deadline has passed.", "task", ref.Task, "run", ref.Run, "stop", o.stop)
+		results = append(results, ledger.Result{Task: ref.Task, Run: ref.Run, Stop: o.stop, Result: result})
+	}
+	return results
+}
+
+// isListed reports whether a run is in either of the lists.
+func isListed(lists fleet.RunLists, ref ledger.RunRef) bool {
+	return slices.ContainsFunc(lists.Running, func(r fleet.Running) bool { return r.Task == ref.Task && r.Run == ref.Run }) ||
+		slices.ContainsFunc(lists.Ended, func(e fleet.End) bool { return e.Task == ref.Task && e.Run == ref.Run })
+}
+
 // finishOrder reports the result of an order, unless it has been cancelled.
 func (a *Agent) finishOrder(ref ledger.RunRef, o *order, result fleet.OrderResult) {
 	a.post(context.Background(), func() {
@@ -129,7 +175,8 @@
 	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
 	start.Deadline = a.lease.deadline
 	uncertain := a.mayBeCalled(s, ref)
-	a.unanswered[ref] = struct{}{}
+	o.deadline = a.lastDeadline(s, ref, start.Deadline)
+	a.unanswered[ref] = o.deadline
 	if a.given[ref] == nil {
 		a.given[ref] = &givenRun{ordered: time.Now()}
 	}
@@ -178,6 +225,17 @@
 	}
 }
 
+// revokeLater orders a run to stop whose start has ended by its deadline, once the executor
+// answers again. Nothing waits for it.
+func (a *Agent) revokeLater(ref ledger.RunRef) {
+	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
+	ctx, cancel := context.WithTimeout(a.session.ctx, lateCallWindow)
+	go func() {
+		defer cancel()
+		a.revoke(ctx, e, only, term, ref)
+	}()
+}
+
 // stopRun orders the executor to stop a run, and repeats the call until it is
 // answered.
 func (a *Agent) stopRun(s *session, ref ledger.RunRef) {
@@ -185,6 +243,7 @@
 		return
 	}
 	o := a.beginOrder(s, ref, true)
+	o.deadline = a.unanswered[ref]
 	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
 	go func() {
 		for o.ctx.Err() == nil {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -222,8 +222,10 @@
 	OrderNoTicket                      // refused: the policy does not allow the VM, or the ticket has expired
 	OrderBusy                          // refused: the executor is unhealthy and did nothing
 	OrderRejected                      // refused: the executor cannot parse the order
-	OrderRevoked                       // refused; the run was also ordered to stop, as an earlier try may have started it
-	OrderGone                          // refused: an executor with another ID answered
+	// OrderRevoked: refused, and the run was also ordered to stop, as an earlier try may have
+	// started it; or the deadline of each try has passed.
+	OrderRevoked
+	OrderGone // refused: an executor with another ID answered
 	// The instance that was given a start has ended without listing an end of the run,
 	// early in the run or later. Agents report these to leaders that did not see it.
 	OrderCrashed
