ledger: count the lease of a silent executor whose agent is at work

What callers would see: tasks of an executor that has ended wait up to 10.2 s for another VM, beside room, if the executor had come up, or its agent had been started anew, within the 6 s before.

Cause: with a session to the agent, the leader closed the runs of a silent executor only on the agent's word that every lease has expired. An agent that has met the executor a moment ago does not know which leases another process of the agent gave, so it says so only the longest lease (10 s) after its first reading of the clock. The leader knows by its own grants that the last lease ends 4.2 s after the last lists, but counted them only without a session.

Change: the leader counts its grants with a session, too, for an executor that has returned no lists since the lease ended. The proof is the same, and the term has to be confirmed after the end of the lease as before. Its name in the log is 'lease expired by count'. An agent repeats no start beyond its deadline since the last commit, so none is called for a run that was closed in this way.

TestTaskOfASilentExecutorWaitsForTheGrantedLeaseOnly failed before ("a confirmation would show it").

--- a/internal/fleet/ledger/proof.go
+++ b/internal/fleet/ledger/proof.go
@@ -27,7 +27,7 @@
 
 // String returns the kind as it appears in log lines.
 func (k proofKind) String() string {
-	return [...]string{"no proof", "lease expired, agent out of reach", "lease expired", "executor ended", "not listed", "refused"}[k]
+	return [...]string{"no proof", "lease expired by count", "lease expired", "executor ended", "not listed", "refused"}[k]
 }
 
 // lapsedByGrants returns the proof that every lease that this or an earlier leader granted
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -161,8 +161,8 @@
 	t.closedRuns = append(t.closedRuns, r.Number)
 }
 
-// Tick closes the runs of nodes out of reach whose lease has expired by the leader's
-// clock, deletes removed nodes without runs, and sets Settled once it holds. confirmed is
+// Tick closes the runs of nodes whose lease has expired by the leader's clock, as the agent
+// is out of reach or the executor returns no lists, deletes removed nodes without runs, and sets Settled once it holds. confirmed is
 // when the latest call was sent by which the store confirmed the term: a later leader may
 // have extended any lease that ends after it. Tick reports whether a confirmation that is
 // sent now would show that a lease has expired.
@@ -170,7 +170,7 @@
 	settled := true
 	for _, n := range l.Nodes {
 		p, expired := lapsedByGrants(n, confirmed)
-		awaited := !n.Listed && len(n.Runs) > 0
+		awaited := len(n.Runs) > 0 && !n.listedSince(n.LeaseEnd())
 		if awaited && expired {
 			l.expireLease(n, p, now)
 		}
@@ -188,6 +188,9 @@
 	return unproven
 }
 
+// listedSince reports whether current lists of the executor have come at or after a time.
+func (n *Node) listedSince(t time.Time) bool { return n.Listed && !n.ListedAt.Before(t) }
+
 // settledBy describes by what the takeover has settled: its duration, and the nodes of which
 // no lists have come.
 func (l *Ledger) settledBy(now time.Time) string {
