ledger: count the wait of a task from the end of its last run, also without a listed end

Cause: a task whose run was closed by a proof (lease expired, executor replaced, not listed, refused) kept the time at which it was first ready. So a filling task of a lost VM counted as having waited for long at once, and was placed without regard to idle CPU, and the lines on long waits would have named such tasks.

Change: it is ready since its run was closed, as after a listed end.

The last check of TestTaskOfASilentExecutorWaitsForTheGrantedLeaseOnly is new and failed before ("it waits since then, not since it was accepted").

--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -157,6 +157,7 @@
 		return
 	}
 	t.Current, t.NotBefore = nil, now.Add(delay)
+	t.ReadySince = t.NotBefore
 	t.EndedRun = max(t.EndedRun, r.Number)
 	t.closedRuns = append(t.closedRuns, r.Number)
 }
--- a/internal/fleet/ledger/silent_test.go
+++ b/internal/fleet/ledger/silent_test.go
@@ -37,4 +37,5 @@
 	require.Empty(t, w.ready(), "a later leader may have extended the lease")
 	w.ledger.Tick(w.now, w.now)
 	require.Equal(t, []fleet.TaskID{id}, w.ready())
+	require.Equal(t, w.now, w.ledger.Ready(w.now)[0].ReadySince, "it waits since then, not since it was accepted")
 }
