lead, place: let a lasting task that has waited long use a VM with much Trouble

What callers would see: a lasting task without a run beside room for up to 20 s and more. Fits the report: executors fail what they run for a while (grey, lying health), and a burst of lasting jobs has taken the rest of the fleet.

Cause: a VM whose Trouble is 3 above the median of its pool gets no task. All runs that are there when its executor turns bad fail, each counts 1, and the count halves in 6 s: after 30 failures the VM stays excluded for 20 s, however sound its executor is by then. Only filling tasks that had waited for 1.5 s went there all the same.

Change: lasting tasks, which have no limit of attempts, do so too, to such a VM last of all. Trouble is bounded at 24, so that a VM is used again 18 s after its last failure at most, also by other tasks, and further tries add no more.

TestForcedTaskPrefersVMsWithoutTrouble is new.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -23,7 +23,8 @@
 	// assumed to use.
 	assumedUtilization = 0.55
 	// forceAfter is how long a filling task waits for idle CPU before it may be
-	// placed where it gets less than it asks for.
+	// placed where it gets less than it asks for, and a lasting task, which has no limit
+	// of attempts, before it may be placed on a VM on which many runs have failed.
 	forceAfter = 1500 * time.Millisecond
 	// minRunBeforeMove is how long a filling task must have run before it is moved:
 	// a stop and a restart cost about 0.3 s of work.
@@ -284,7 +285,7 @@
 	out := place.Task{
 		Key: stepKey(t.ID), Pool: p.policy(t.Step.Job).Pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
 		Label: s.Label, DataRack: s.DataRack, MaxPerVM: s.MaxPerVM,
-		Forced: s.Fills && now.Sub(t.ReadySince) > forceAfter,
+		Forced: (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter,
 	}
 	if t.EndedRun > 0 {
 		out.AvoidName = t.LastNode
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -16,6 +16,9 @@
 	// troubleHalfLife is the half-life of Node.Trouble. Most impaired executors
 	// recover within it.
 	troubleHalfLife = 6 * time.Second
+	// troubleLimit bounds Node.Trouble, so that a VM whose executor recovers is used again
+	// within three half-lives, however many runs have failed there.
+	troubleLimit = 24.0
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
@@ -384,7 +387,7 @@
 
 // addTrouble adds an amount to the decayed Trouble.
 func (n *Node) addTrouble(amount float64, now time.Time) {
-	n.Trouble = n.TroubleAt(now) + amount
+	n.Trouble = min(troubleLimit, n.TroubleAt(now)+amount)
 	n.troubleAt = now
 }
 
--- a/internal/fleet/place/explain.go
+++ b/internal/fleet/place/explain.go
@@ -29,7 +29,7 @@
 			e.Pool++
 		case vm.Closed:
 			e.Closed++
-		case vm.Trouble > vm.MedianTrouble+maxTrouble && !t.Forced:
+		case vm.isExcluded() && !t.Forced:
 			e.Trouble++
 		case t.Label != "" && !slices.Contains(vm.Labels, t.Label):
 			e.Label++
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -79,6 +79,7 @@
 	sameImageBonus   = 16.0   // bonus: the VM serves the image already; few filling images disturb a VM with one serving image
 	otherImageCores  = 8.0    // each serving task of another image on the VM
 	fillingOnlyCores = 500.0  // a VM that is kept for filling tasks, for a lasting task
+	excludedCores    = 2000.0 // a VM with too much Trouble, for a lasting task that is forced
 	isolationCores   = 1000.0 // each task on the VM, for a task to be isolated
 	startingTasks    = 50.0   // tasks that count as much for that as one that starts
 	noServingBonus   = 30.0   // bonus: a VM without serving tasks, for a filling task
@@ -134,7 +135,7 @@
 
 // Fits reports whether a VM may run the task.
 func Fits(t *Task, vm *VM, interference Interference) bool {
-	if vm.Pool != t.Pool || vm.Closed || vm.Trouble > vm.MedianTrouble+maxTrouble && !t.Forced {
+	if vm.Pool != t.Pool || vm.Closed || vm.isExcluded() && !t.Forced {
 		return false
 	}
 	if t.Label != "" && !slices.Contains(vm.Labels, t.Label) {
@@ -149,6 +150,9 @@
 	return !t.Fills || (t.Forced || vm.Spare() >= t.Need.MilliCPU) && isTolerable(t, vm, interference)
 }
 
+// isExcluded reports whether the VM has so much Trouble that only forced tasks go there.
+func (vm *VM) isExcluded() bool { return vm.Trouble > vm.MedianTrouble+maxTrouble }
+
 // isTolerable reports whether a filling task may run beside the serving tasks of
 // a VM. None starts beside a task over its target, whatever the cause.
 func isTolerable(t *Task, vm *VM, interference Interference) bool {
@@ -221,6 +225,9 @@
 		if vm.FillingOnly {
 			s -= fillingOnlyCores
 		}
+		if vm.isExcluded() {
+			s -= excludedCores
+		}
 		return s - free + spreadScore(t, vm) + imageScore(t, vm)
 	default:
 		return s + free
--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -119,3 +119,13 @@
 		require.LessOrEqual(t, v.Jobs["feed"], 3)
 	}
 }
+
+// Guards against a lasting task that has waited long and goes to a VM on which runs fail
+// while another one has room.
+func TestForcedTaskPrefersVMsWithoutTrouble(t *testing.T) {
+	failing, kept := vm("failing", 64), vm("kept", 16)
+	failing.Trouble, kept.FillingOnly = 30, true
+	task := &Task{Pool: "pool", Need: cpu(4), Lasting: true, Forced: true}
+	require.Equal(t, 1, Choose(task, []*VM{failing, kept}, noInterference))
+	require.Equal(t, 0, Choose(task, []*VM{failing}, noInterference))
+}
