lead: leave a part of the budget of the link for the starts of lasting tasks

What callers would see: a lasting task without a run, with most VMs free, for as long as more short jobs come than the leader's link carries: a burst, or clients that move, while a front machine with a link of 10 Mbit/s leads.

Short tasks that can still be in time get their turn before lasting ones, so each plan spent the whole budget on them; those that got late were followed by new ones in time.

Change: the starts of other tasks leave an eighth of the burst, and at least the size of the largest start, for lasting tasks. The rate stays, the order too: VMs still go to short tasks in time first, so that a fleet without room is not given to lasting ones.

--- a/internal/fleet/lead/budget.go
+++ b/internal/fleet/lead/budget.go
@@ -19,6 +19,14 @@
 	startOverhead = 120
 	// minStartBurst holds the largest spec, so that any task can start.
 	minStartBurst = 8 << 10
+	// lastingReserve is the share of the burst that starts of other tasks leave for lasting
+	// ones. Short tasks in time go first, so that they would use up the budget whenever
+	// more of them come than the link carries; a lasting task may be without a run for
+	// 6 s only.
+	lastingReserve = 0.125
+	// minLastingReserve is more than the start with the largest spec takes, so that
+	// something is left of the reserve after it.
+	minLastingReserve = 4500
 )
 
 // startBudget limits the bytes of start orders to what the link carries beside the
@@ -36,9 +44,13 @@
 	return startBudget{rate.NewLimiter(rate.Limit(bytes), max(minStartBurst, int(bytes*startBurst.Seconds())))}
 }
 
-// open reports whether another start may be ordered.
-func (b startBudget) open(now time.Time) bool {
-	return b.limiter.Limit() == rate.Inf || b.limiter.TokensAt(now) > 0
+// open reports whether another start may be ordered, of a lasting task or of another one.
+func (b startBudget) open(now time.Time, lasting bool) bool {
+	reserve := 0.0
+	if !lasting {
+		reserve = max(minLastingReserve, lastingReserve*float64(b.limiter.Burst()))
+	}
+	return b.limiter.Limit() == rate.Inf || b.limiter.TokensAt(now) > reserve
 }
 
 // spend takes the bytes of a start order with the given spec and checkpoint.
--- a/internal/fleet/lead/budget_test.go
+++ b/internal/fleet/lead/budget_test.go
@@ -43,7 +43,9 @@
 	b := newStartBudget(1000)
 	now := time.Now()
 	b.spend(now, 1<<20)
-	require.False(t, b.open(now))
-	require.True(t, b.open(now.Add(time.Minute)))
-	require.True(t, newStartBudget(0).open(now))
+	for _, lasting := range []bool{false, true} {
+		require.False(t, b.open(now, lasting))
+		require.True(t, b.open(now.Add(time.Minute), lasting))
+		require.True(t, newStartBudget(0).open(now, lasting))
+	}
 }
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -131,7 +131,7 @@
 		if t.Suspect() {
 			continue
 		}
-		if !p.budget.open(now) {
+		if !p.budget.open(now, r.Step.Spec.Lasting) {
 			return nil
 		}
 		task := p.describeTask(t, now)
--- a/internal/fleet/lead/suspects.go
+++ b/internal/fleet/lead/suspects.go
@@ -47,7 +47,7 @@
 			left--
 		}
 	}
-	for left > 0 && len(once)+len(repeated) > 0 && p.budget.open(now) {
+	for left > 0 && len(once)+len(repeated) > 0 && p.budget.open(now, false) {
 		from := &once
 		if p.sizes.Next(len(once) > 0, len(repeated) > 0) {
 			from = &repeated
@@ -86,7 +86,7 @@
 func (p *planner) startSuspectGroup(from []suspect, limit int, vm *place.VM, n *ledger.Node, now time.Time) []suspect {
 	group := startedGroup{first: from[0].task, run: from[0].task.LastRun + 1, crashes: from[0].task.Crashes()}
 	rest := slices.DeleteFunc(from, func(s suspect) bool {
-		if group.tasks == limit || s.task.Crashes() != group.crashes || !p.budget.open(now) {
+		if group.tasks == limit || s.task.Crashes() != group.crashes || !p.budget.open(now, false) {
 			return false
 		}
 		task := p.describeTask(s.task, now)
