lead: move lasting tasks only to VMs without much Trouble

Cause: since a lasting task counts as forced 1.5 s after it was last ready, also while it is at work, so that one on a VM kept for filling tasks would be stopped for a VM on which runs fail.

TestLastingTaskIsNotMovedToAVMWithManyFailures failed before (state 2, stopping).

--- a/internal/fleet/lead/lasting_test.go
+++ b/internal/fleet/lead/lasting_test.go
@@ -35,6 +35,27 @@
 	require.Less(t, l.now.Sub(began), 6*time.Second, "wait beside room")
 }
 
+// Guards against a lasting task at work that is moved to a VM on which runs fail.
+func TestLastingTaskIsNotMovedToAVMWithManyFailures(t *testing.T) {
+	l := newPlanFixture(3)
+	l.reportFailures(1, 30)
+	l.submit("feed", fleet.Step{Count: 2, Need: structs.Resources{MilliCPU: 20000, MemoryMB: 13000}, Lasting: true})
+	l.plan.plan(l.now)
+	l.list()
+	require.Empty(t, l.ledger.Nodes["vm-000"].Runs)
+	l.now = l.now.Add(5 * time.Second)
+	l.list()
+	vms, nodes := l.plan.eligibleVMs(l.now)
+	for _, vm := range vms {
+		vm.FillingOnly = vm.Name == "vm-001"
+	}
+	l.plan.clearFillingOnly(vms, nodes, l.now)
+	require.Len(t, l.ledger.Nodes["vm-001"].Runs, 1)
+	for _, r := range l.ledger.Nodes["vm-001"].Runs {
+		require.Equal(t, ledger.Running, r.State)
+	}
+}
+
 // Guards against lasting tasks that stay without a run beside room while the starts of
 // short tasks in time, which go first, use up what the leader's link carries.
 func TestLastingTaskStartsThoughShortTasksFillTheLink(t *testing.T) {
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -325,6 +325,7 @@
 				continue
 			}
 			task := p.describeTask(r.Task, now)
+			task.Forced = false // it does not wait
 			if to := place.Choose(&task, vms, p.estimator.DisturbanceProbability); to >= 0 && !vms[to].FillingOnly {
 				p.ledger.Stop(r, "VM is kept for filling tasks")
 				return
