--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -23,7 +23,8 @@
 	// assumed to use.
 	assumedUtilization = 0.55
 	// forceAfter is how long a filling task waits for idle CPU before it may be
-	// placed where it gets somewhat less than it asks for.
+	// placed where it gets somewhat less than it asks for, and a lasting task, which has
+	// no limit of attempts, before it may be placed on a VM on which many runs have failed.
 	forceAfter = 1500 * time.Millisecond
 	// minRunBeforeMove is how long a filling task must have run before it is moved:
 	// a stop and a restart cost about 0.3 s of work.
@@ -65,6 +66,7 @@
 	lastMark       time.Time            // last selection of the VMs kept for filling tasks
 	sizes          probation.Groups     // of the groups in which suspects start
 	suspectGroups  []startedGroup       // whose end is not known
+	waits          *waits               // nil: long waits are not logged
 }
 
 // newPlanner returns a planner of the tasks of a ledger. The functions are those of the
@@ -87,6 +89,7 @@
 // plan stops and moves tasks where needed, then starts the ready tasks that fit on
 // a VM.
 func (p *planner) plan(now time.Time) {
+	defer p.reportWaits(now)
 	p.evictDraining()
 	ready := p.ledger.ReadySteps(now)
 	if len(ready) == 0 && len(p.toMove) == 0 {
@@ -128,7 +131,7 @@
 		if t.Suspect() {
 			continue
 		}
-		if !p.budget.open(now) {
+		if !p.budget.open(now, r.Step.Spec.Lasting) {
 			return nil
 		}
 		task := p.describeTask(t, now)
@@ -300,7 +303,7 @@
 	out := place.Task{
 		Key: stepKey(t.ID), Pool: p.policy(t.Step.Job).Pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
 		Label: s.Label, DataRack: s.DataRack, MaxPerVM: s.MaxPerVM,
-		Forced: s.Fills && now.Sub(t.ReadySince) > forceAfter,
+		Forced: (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter,
 	}
 	if t.EndedRun > 0 {
 		out.AvoidName = t.LastNode
@@ -340,6 +343,7 @@
 				continue
 			}
 			task := p.describeTask(r.Task, now)
+			task.Forced = false // it does not wait
 			if to := place.Choose(&task, vms, p.estimator.DisturbanceProbability); to >= 0 && !vms[to].FillingOnly {
 				p.ledger.Stop(r, "VM is kept for filling tasks")
 				return
