lead: start nothing in an evacuated failure domain

Operators request the evacuation of a failure domain by a key under op/evacuate/. Until now the key had no effect.

If bounds.evacuate_ms is set, the leader reads these keys with its state, follows them by a watch of its own, and reads them whole after dropped history, after three failed watches, and where the revision of the store stands still. VMs of an evacuated domain take no tasks. Starts there that are not confirmed are stopped, in the present session, in the next one and in the next instance of the executor, and their tasks start elsewhere. Without an answer for 2.5 s the leader orders no starts; leases go on. Deployments without evacuate_ms make no further calls.

--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -40,6 +40,8 @@
 	execs   []*standin.Executor
 	// logOf returns the logger of a process. nil: nothing is logged.
 	logOf func(process string) *log.Logger
+	// evacuations is the prefix of the keys of evacuations. Empty: there are none.
+	evacuations string
 }
 
 func listen(t *testing.T) net.Listener {
@@ -121,6 +123,7 @@
 	return lead.NewEntry(lead.Options{
 		Node: name, Advertise: listener.Addr().String(), Store: store, MaxLease: 10 * time.Second,
 		StatusKept: time.Minute, Log: r.logger(name), Metrics: lead.NewMetrics(r.t.Name() + name),
+		EvacuationPrefix: r.evacuations,
 	}, listener, lead.ConfigSource{Prefix: "op/", Key: configKey, Decode: func([]byte) (*fleet.Config, error) {
 		return &fleet.Config{Version: 1, Queues: []fleet.Queue{{Name: "q", Policy: fleet.Policy{Pool: "pool", MaxAttempts: 2}}}}, nil
 	}})
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -76,6 +76,9 @@
 	Config     func() *fleet.Config // set by NewEntry
 	Log        *log.Logger
 	Metrics    *Metrics
+	// EvacuationPrefix is the prefix of the keys with which operators request the
+	// evacuation of a failure domain, whose name follows. Empty: there are none.
+	EvacuationPrefix string
 }
 
 // termGrace returns how long after its term was last confirmed a leader grants leases.
@@ -126,6 +129,7 @@
 	exclusiveSince uint64
 	watched        uint64        // store revision up to which the changes of the watched keys are applied
 	jobsAsked      askedRevision // once it is watched, the jobs stored before are known
+	evacuations    evacuations
 }
 
 // askedRevision is a revision that the store had in answer to a call sent at a time.
@@ -199,6 +203,10 @@
 	close(l.loaded)
 	l.opts.Log.Info("Leading.", "term", l.term, "jobs", len(l.ledger.Jobs), "vms", len(l.ledger.Nodes), "loaded", time.Since(l.began), "earlier leases", l.predecessor.maxLease)
 	go l.watch(ctx, revision)
+	if l.opts.EvacuationPrefix != "" {
+		defer l.opts.Metrics.EvacuatedDomains.Set(0)
+		go l.watchEvacuations(ctx, l.evacuations.revision)
+	}
 	for name, link := range l.links {
 		go link.run(ctx, l, name)
 	}
@@ -319,7 +327,13 @@
 // suspended may have lost its term without noticing that time has passed; a step of
 // the wall clock looks the same, and delays starts until the next confirmation.
 func (l *Leader) unconfirmed(now time.Time) time.Duration {
-	return now.Sub(l.verifiedAt) + max(0, l.wallOffset(now)-l.offsetThen)
+	return l.elapsed(l.verifiedAt, l.offsetThen, now)
+}
+
+// elapsed returns the time since a reading of the clock with the given wallOffset,
+// including a suspension of the VM.
+func (l *Leader) elapsed(then time.Time, offset time.Duration, now time.Time) time.Duration {
+	return now.Sub(then) + max(0, l.wallOffset(now)-offset)
 }
 
 // wallOffset returns the offset of the wall clock of a reading from its monotonic one.
@@ -416,7 +430,12 @@
 		return
 	}
 	now := time.Now()
-	if l.unconfirmed(now) < startGrace && l.pacer.due(now) {
+	takeOrders := (*ledger.Node).TakeOrders
+	known := l.knowsEvacuations(now)
+	if !known {
+		takeOrders = (*ledger.Node).TakeOrdersWithoutStarts
+	}
+	if known && l.unconfirmed(now) < startGrace && l.pacer.due(now) {
 		l.planner.plan(now)
 		l.pacer.done(now, time.Now())
 		l.opts.Metrics.Plan.Observe(time.Since(now))
@@ -427,7 +446,7 @@
 		if link == nil || !link.connected || l.ledger.Nodes[n.Name] != n || !n.Listed {
 			continue // the first lists of a session make it pending again
 		}
-		if orders, some := n.TakeOrders(); some || link.grantDue(now) {
+		if orders, some := takeOrders(n); some || link.grantDue(now) {
 			link.send(orders, l.grant(n, link, now), l.opts.Metrics)
 		}
 	}
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -15,16 +15,17 @@
 	"vanillalock.example/vanillalock/internal/fleet/tail"
 )
 
-// load restores the ledger from the store: jobs, cancellations, VMs and progress. It
+// load restores the ledger from the store: jobs, cancellations, VMs, progress and evacuations. It
 // returns the revision from which to watch for changes. After each page it handles the
 // events of the leader, such as the confirmations of its term, and it fails only once the
 // term has ended, as the next leader would have to read the same.
 func (l *Leader) load(ctx context.Context) (uint64, error) {
-	state, err := readState(ctx, &stateReader{l.opts.Store, l.opts.Log, func() error {
+	reader := &stateReader{l.opts.Store, l.opts.Log, func() error {
 		l.drainEvents()
 		l.checkTerm(time.Now())
 		return l.deposed
-	}})
+	}}
+	state, err := readState(ctx, reader)
 	if err != nil {
 		return 0, err
 	}
@@ -32,7 +33,7 @@
 	l.restore(ctx, state, true, now)
 	l.setWatched(state.revision)
 	l.loadLearned(ctx, now)
-	return state.revision, nil
+	return state.revision, l.loadEvacuations(ctx, reader)
 }
 
 // storedState is the state of the fleet in the store.
--- a/internal/fleet/lead/metrics.go
+++ b/internal/fleet/lead/metrics.go
@@ -19,6 +19,8 @@
 	OrderBytes  obs.Counter // of frames to agents
 	Reports     obs.Counter // of agents
 	ReportBytes obs.Counter
+
+	EvacuatedDomains obs.Gauge // failure domains in which the leader starts nothing
 }
 
 // NewMetrics returns the metrics of an entry, published under the given name.
@@ -26,7 +28,8 @@
 	set := obs.NewMetrics(name)
 	return &Metrics{
 		set: set, OrderBytes: set.Counter("order_bytes"), Reports: set.Counter("reports"), ReportBytes: set.Counter("report_bytes"),
-		Commit: set.Latency("commit"), Plan: set.Latency("plan"), Loop: set.Latency("loop_delay"), Submit: set.Latency("submit"), State: set.Latency("state"),
+		EvacuatedDomains: set.Gauge("evacuated_domains"),
+		Commit:           set.Latency("commit"), Plan: set.Latency("plan"), Loop: set.Latency("loop_delay"), Submit: set.Latency("submit"), State: set.Latency("state"),
 	}
 }
 
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -291,12 +291,12 @@
 }
 
 // eligibleVMs returns the VMs that may take tasks, those with recent lists that are
-// not draining, and their nodes in the same order.
+// neither draining nor in an evacuated failure domain, and their nodes in the same order.
 func (p *planner) eligibleVMs(now time.Time) ([]*place.VM, []*ledger.Node) {
 	vms := make([]*place.VM, 0, len(p.ledger.Nodes))
 	nodes := make([]*ledger.Node, 0, len(p.ledger.Nodes))
 	for name, n := range p.ledger.Nodes {
-		if !n.MayStart() || now.Sub(n.ListedAt) > maxListAge || n.Executor.Draining {
+		if !n.MayStart() || now.Sub(n.ListedAt) > maxListAge || n.Executor.Draining || p.ledger.IsEvacuated(n) {
 			continue
 		}
 		vms = append(vms, p.cachedVM(name, n, now))
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -19,9 +19,10 @@
 // planFixture is a simulated fleet of VMs with serving, filling and short tasks, for the
 // planner alone.
 type planFixture struct {
-	ledger *ledger.Ledger
-	plan   planner
-	now    time.Time
+	ledger  *ledger.Ledger
+	plan    planner
+	now     time.Time
+	domains map[string]string // failure domains of the VMs; none by default
 	// failures is the number of the last end that reportFailures has listed.
 	failures int
 }
@@ -49,7 +50,7 @@
 
 // listOne reports the run list of one VM.
 func (l *planFixture) listOne(name string, n *ledger.Node) {
-	e := &fleet.Executor{Instance: name, Pool: "pool", Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 128000}}
+	e := &fleet.Executor{Instance: name, Pool: "pool", FailureDomain: l.domains[name], Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 128000}}
 	var running []fleet.Running
 	for id, r := range n.Runs {
 		running = append(running, fleet.Running{Task: id, Run: r.Number, Percent: 100, Reading: 20})
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -148,6 +148,7 @@
 	ReportedAt time.Time // last report
 	ListedAt   time.Time // last report with lists
 	LeaseUntil time.Time // when the last lease that was granted to the executor has expired
+	domains    []string  // failure domains in which the instance was announced
 	Runs       map[fleet.TaskID]*Run
 	removed    bool // to be deleted once nothing can run there
 	// replaced is set once the executor has replaced another instance. foreignLeaseUntil is
@@ -229,6 +230,7 @@
 	// cancelledEarly holds the times of cancellations of jobs that are not known yet.
 	cancelledEarly map[string]time.Time
 	early          map[string][]earlyEnd // ends of jobs that are not known, by job
+	evacuated      map[string]struct{}   // failure domains in which no run is started
 }
 
 // Options configure a Ledger.
--- a/internal/fleet/ledger/orders.go
+++ b/internal/fleet/ledger/orders.go
@@ -90,11 +90,16 @@
 
 // TakeOrders removes and returns the orders for the node, without starts while they are
 // held. It reports false if there are none and no further ends to acknowledge.
-func (n *Node) TakeOrders() (Orders, bool) {
+func (n *Node) TakeOrders() (Orders, bool) { return n.takeOrders(n.startsHeld) }
+
+// TakeOrdersWithoutStarts is as TakeOrders, but leaves the starts for a later call.
+func (n *Node) TakeOrdersWithoutStarts() (Orders, bool) { return n.takeOrders(true) }
+
+func (n *Node) takeOrders(holdStarts bool) (Orders, bool) {
 	o := n.orders
 	n.orders = Orders{}
 	o.Starts = slices.DeleteFunc(o.Starts, func(s fleet.StartOrder) bool { return !n.awaitsStart(s) })
-	if n.startsHeld {
+	if holdStarts {
 		n.orders.Starts, o.Starts = o.Starts, nil
 	}
 	o.Instance, o.Stored = n.Executor.Instance, n.storedEnds()
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -89,6 +89,8 @@
 		l.newInstance(n, *r.Executor, now)
 	}
 	n.Executor = *r.Executor
+	n.noteDomain()
+	l.withdrawStarts(n)
 	if p, lapsed := lapsedByReport(r, now); lapsed {
 		l.expireLease(n, p, now)
 		n.lapsed = true
@@ -132,6 +134,7 @@
 		}
 	}
 	n.highestEnd, n.ackedEnds, n.unstoredEnds, n.orders, n.listings = 0, 0, nil, Orders{}, 0
+	n.domains = nil
 	n.completeListings, n.complete = 0, false
 	n.Listed, n.lapsed = false, false
 }
--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -128,10 +128,14 @@
 }
 
 func newFleetEntry(s platform.Settings, store *platform.Store, listener net.Listener) *lead.Entry {
+	evacuations := ""
+	if s.Bounds.Evacuate > 0 {
+		evacuations = platform.EvacuationBase
+	}
 	return lead.NewEntry(lead.Options{
 		Node: s.Node, Advertise: listener.Addr().String(), Store: store, MaxLease: s.Bounds.MaxLease,
 		StatusKept: s.Bounds.StatusKept, StoreLease: s.StoreLeaseMin, CPUShare: s.CPUShare, LinkRate: s.LinkRate, Log: obs.Logger("entry"),
-		Metrics: lead.NewMetrics("fleet"),
+		Metrics: lead.NewMetrics("fleet"), EvacuationPrefix: evacuations,
 	}, listener, lead.ConfigSource{Prefix: platform.OperatorBase, Key: platform.ConfigKey, Decode: platform.DecodeConfig})
 }
 
