lead: refuse jobs that no VM can run

A job with a label that no VM has, larger than any VM, or for a pool without VMs was accepted and queued for good. An entry now asks the leader about needs that it has not seen fit before, within 250 ms, and refuses the job as not run if the leader knows all VMs and none of them, draining, evacuated and lately departed ones included, can run a step. Without an answer, and in the first 10 s of a term, the job is accepted as before. A job that is stored already is not refused.

Measured: TestJobThatNoVMCanRunIsRefused fails without the check (accepted with ResultOK) and passes with it.

--- a/internal/fleet/lead/answer.go
+++ b/internal/fleet/lead/answer.go
@@ -51,6 +51,8 @@
 		return &pb.FleetReply{State: string(job.VisibleState())}
 	case link.AskWaiting:
 		return &pb.FleetReply{Waiting: uint32(l.ledger.Waiting(q.GetQueue()))}
+	case link.AskFit:
+		return l.answerFit(q, now)
 	default:
 		return nil
 	}
--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -44,6 +44,7 @@
 	direct  fleet.Store // the store without relaying
 	store   *relayStore
 	peers   peers
+	fits    fits
 	relayed *semaphore.Weighted                                                               // calls for other entries that are under way
 	askPeer func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
 
@@ -233,6 +234,17 @@
 		return fleet.Answer{Result: fleet.ResultNotRun, Cause: err.Error()}
 	}
 	key := fleet.JobBase + job.ID
+	if cause := e.misfit(ctx, job); cause != "" {
+		// An earlier try may have been accepted while there was such a VM.
+		switch _, err := e.opts.Store.Get(ctx, key); {
+		case err == nil:
+			return fleet.Answer{}
+		case isNotFound(err):
+			return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: misfitRetry, Cause: cause}
+		default:
+			return fleet.Answer{Result: fleet.ResultUnknown, Cause: err.Error()}
+		}
+	}
 	revision, err := e.opts.Store.Commit(ctx, fleet.Txn{If: []fleet.Condition{{Key: key}}, Put: []fleet.Write{{Key: key, Value: value}}})
 	var conflict *fleet.ConflictError
 	switch {
--- /dev/null
+++ b/internal/fleet/lead/fit.go
@@ -0,0 +1,152 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/structs"
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+// A job whose tasks no VM can run, whatever else runs there, would be queued for good. An
+// entry refuses it if the leader, which knows the VMs, says so. Entries keep what was found
+// to fit, so the leader is asked about few jobs. Without its answer a job is accepted.
+const (
+	fitTimeout = 250 * time.Millisecond // of the question; a submission must not wait long for a leader out of reach
+	// fitSettling is the time from its election in which a leader rules out nothing: the
+	// agents of a fleet that starts register one after another.
+	fitSettling = 10 * time.Second
+	// departedKept is how long a VM that has left counts as one that may come back, after
+	// a restart or upkeep.
+	departedKept = time.Minute
+	maxDeparted  = 1024
+	misfitRetry  = 10 * time.Second // a VM that fits may be added meanwhile
+	// maxFits bounds the capacities that an entry keeps for each pool and label.
+	maxFits = 8
+	// maxFitKinds bounds the pools and labels for which it keeps some. Callers choose the labels.
+	maxFitKinds = 1024
+)
+
+// departedVM is a VM that has left.
+type departedVM struct {
+	executor fleet.Executor
+	at       time.Time
+}
+
+// noteDeparture records a VM whose registration is gone.
+func (l *Leader) noteDeparture(name string, now time.Time) {
+	l.departed = slices.DeleteFunc(l.departed, func(d departedVM) bool { return now.Sub(d.at) > departedKept })
+	if n := l.ledger.Nodes[name]; n != nil && len(l.departed) < maxDeparted {
+		l.departed = append(l.departed, departedVM{n.Executor, now})
+	}
+}
+
+// answerFit answers AskFit.
+func (l *Leader) answerFit(q *pb.FleetAsk, now time.Time) *pb.FleetReply {
+	var need link.Need
+	if err := json.Unmarshal(q.GetJob(), &need); err != nil {
+		return nil
+	}
+	data, err := json.Marshal(l.fit(need, now))
+	if err != nil { // a struct of numbers and a bool always encodes
+		return nil
+	}
+	return &pb.FleetReply{Data: data}
+}
+
+// fit returns the largest VM that can run tasks with a need once it is free. VMs that
+// drain, are evacuated or have left lately count.
+func (l *Leader) fit(need link.Need, now time.Time) link.Fit {
+	fit := link.Fit{Known: now.Sub(l.began) > fitSettling}
+	consider := func(e fleet.Executor) {
+		fits := e.Pool == need.Pool && need.Need.Fits(e.Capacity) && (need.Label == "" || slices.Contains(e.Labels, need.Label))
+		if fits && (fit.Capacity == nil || fit.Capacity.Fits(e.Capacity)) {
+			fit.Capacity = &e.Capacity
+		}
+	}
+	for _, n := range l.ledger.Nodes {
+		consider(n.Executor)
+		fit.Known = fit.Known && n.Executor.Instance != ""
+	}
+	for _, d := range l.departed {
+		if now.Sub(d.at) <= departedKept {
+			consider(d.executor)
+			fit.Known = fit.Known && d.executor.Instance != ""
+		}
+	}
+	return fit
+}
+
+// fitKind is what VMs are told apart by, besides their capacity.
+type fitKind struct{ pool, label string }
+
+// fits holds capacities of VMs that an entry knows of. It is safe for concurrent use.
+type fits struct {
+	mu         sync.Mutex
+	capacities map[fitKind][]structs.Resources
+}
+
+// has reports whether a VM is known on which tasks with a need fit.
+func (f *fits) has(need link.Need) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.capacities[fitKind{need.Pool, need.Label}], need.Need.Fits)
+}
+
+// add records the capacity of a VM on which tasks with a need fit.
+func (f *fits) add(need link.Need, capacity structs.Resources) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.capacities == nil || len(f.capacities) >= maxFitKinds {
+		f.capacities = map[fitKind][]structs.Resources{}
+	}
+	kind := fitKind{need.Pool, need.Label}
+	known := slices.DeleteFunc(f.capacities[kind], func(c structs.Resources) bool { return c.Fits(capacity) })
+	f.capacities[kind] = append(known[max(0, len(known)-maxFits+1):], capacity)
+}
+
+// misfit returns why no VM can run a step of a job, or "" if each step fits on one or the
+// leader does not know.
+func (e *Entry) misfit(ctx context.Context, job fleet.Job) string {
+	for i, s := range job.Steps {
+		need := link.Need{Pool: job.Policy.Pool, Label: s.Label, Need: s.Need}
+		if s.Fills { // as in place.ReservedWith
+			need.Need.MilliCPU = 0
+		}
+		if e.fits.has(need) {
+			continue
+		}
+		fit, err := e.askFit(ctx, need)
+		switch {
+		case err != nil:
+			return "" // nor would it answer for the next step
+		case fit.Capacity != nil:
+			e.fits.add(need, *fit.Capacity)
+		case fit.Known:
+			return fmt.Sprintf("no VM of pool %q can run a task of step %d: it needs %+v and label %q", need.Pool, i, need.Need, need.Label)
+		}
+	}
+	return ""
+}
+
+// askFit asks the leader whether a VM can run tasks with a need.
+func (e *Entry) askFit(ctx context.Context, need link.Need) (link.Fit, error) {
+	ctx, cancel := context.WithTimeout(ctx, fitTimeout)
+	defer cancel()
+	var fit link.Fit
+	raw, err := json.Marshal(need)
+	if err != nil {
+		return fit, fmt.Errorf("encode the need of a task: %w", err)
+	}
+	reply, err := e.ask(ctx, &pb.FleetAsk{Kind: link.AskFit, Job: raw})
+	if err != nil {
+		return fit, err
+	}
+	return fit, json.Unmarshal(reply.GetData(), &fit)
+}
--- /dev/null
+++ b/internal/fleet/lead/fit_test.go
@@ -0,0 +1,68 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/structs"
+)
+
+// Guards against jobs that are accepted and never run, as no VM has their label, is large
+// enough or belongs to their pool; against refusals of jobs that run once a VM is free, has
+// come back or is known; and against the refusal of a job that was accepted before.
+func TestJobThatNoVMCanRunIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowStore{}
+		l := newLoadingLeader(t, s, 0)
+		l.opts.StatusKept = time.Hour
+		e := NewEntry(l.opts, nil, ConfigSource{})
+		submit := func(id string, change func(*fleet.Job)) fleet.Result {
+			job := fleet.Job{ID: id, Policy: fleet.Policy{Pool: "pool"}, Steps: []fleet.Step{{Count: 1, Need: structs.Resources{MilliCPU: 4000}}}}
+			change(&job)
+			answer := e.Submit(t.Context(), job)
+			require.Equal(t, answer.Result == fleet.ResultNotRun, answer.RetryAfter > 0)
+			return answer.Result
+		}
+		labelled := func(j *fleet.Job) { j.Steps[0].Label = "ssd" }
+		require.Equal(t, fleet.ResultOK, submit("without a leader", labelled))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = l.run(ctx) }()
+		e.localLeader.Store(l)
+		vm := fleet.Executor{Instance: "vm", Pool: "pool", Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+		report := func(e fleet.Executor) {
+			l.post(ctx, func() { l.ledger.Report(l.ledger.AddNode("vm"), ledger.Report{Executor: &e, Listed: true}, time.Now()) })
+		}
+		report(vm)
+		require.Equal(t, fleet.ResultOK, submit("at the start", labelled))
+		time.Sleep(fitSettling + time.Second)
+
+		require.Equal(t, fleet.ResultNotRun, submit("label", labelled))
+		require.Equal(t, fleet.ResultNotRun, submit("large", func(j *fleet.Job) { j.Steps[0].Need.MilliCPU = 8001 }))
+		require.Equal(t, fleet.ResultNotRun, submit("pool", func(j *fleet.Job) { j.Policy.Pool = "standby" }))
+		_, err := s.Get(ctx, fleet.JobBase+"label")
+		require.True(t, isNotFound(err))
+		require.Equal(t, fleet.ResultOK, submit("at the start", labelled), "it is accepted already")
+		require.Equal(t, fleet.ResultOK, submit("fits", func(*fleet.Job) {}))
+		require.Equal(t, fleet.ResultOK, submit("filling", func(j *fleet.Job) { j.Steps[0].Fills, j.Steps[0].Need.MilliCPU = true, 9000 }))
+
+		vm.Labels, vm.Draining = []string{"ssd"}, true
+		report(vm)
+		require.Equal(t, fleet.ResultOK, submit("draining", labelled))
+		l.post(ctx, func() {
+			l.noteDeparture("vm", time.Now())
+			l.ledger.RemoveNode("vm")
+		})
+		e.fits = fits{}
+		require.Equal(t, fleet.ResultOK, submit("may come back", labelled))
+		time.Sleep(departedKept + 2*executorLease)
+		e.fits = fits{}
+		require.Equal(t, fleet.ResultNotRun, submit("gone", labelled))
+	})
+}
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -130,6 +130,7 @@
 	watched        uint64        // store revision up to which the changes of the watched keys are applied
 	jobsAsked      askedRevision // once it is watched, the jobs stored before are known
 	evacuations    evacuations
+	departed       []departedVM // for departedKept
 }
 
 // askedRevision is a revision that the store had in answer to a call sent at a time.
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -213,6 +213,7 @@
 		if link := l.links[name]; link != nil {
 			link.stop()
 			delete(l.links, name)
+			l.noteDeparture(name, time.Now())
 			l.ledger.RemoveNode(name)
 		}
 		return
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -22,6 +22,7 @@
 	AskWaiting                     // question: the number of waiting jobs of a queue
 	AskStore                       // request: a call to the store, in the field job, for an entry that can't reach it
 	AskLeading                     // question to any entry: whether it leads
+	AskFit                         // question: whether a VM can run tasks that need what the field job states
 )
 
 // NodeRecord is the record of an agent in the store.
@@ -53,6 +54,21 @@
 	ForMs int64 `json:"for_ms"` // how long the process has not led, if it doesn't
 }
 
+// Need is what the tasks of a step need of a VM, in the question AskFit.
+type Need struct {
+	Pool  string            `json:"pool"`
+	Label string            `json:"label,omitempty"`
+	Need  structs.Resources `json:"need"`
+}
+
+// Fit is the answer to AskFit.
+type Fit struct {
+	// Capacity is that of the largest VM that can run such tasks. nil: none can.
+	Capacity *structs.Resources `json:"capacity,omitempty"`
+	// Known is set if the leader knows all VMs of the fleet.
+	Known bool `json:"known"`
+}
+
 // Handover is the record that a leader leaves in the store when it steps down.
 // Without it the next leader has to assume that leases of the longest duration
 // were just given.
