--- a/internal/fleet/lead/config_test.go
+++ b/internal/fleet/lead/config_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -503,3 +504,47 @@
 		require.Equal(t, before, after, "bytes of the store")
 	})
 }
+
+// unstableStore is a store that refuses three of four calls.
+type unstableStore struct {
+	fleet.Store
+	calls atomic.Int64
+}
+
+func (s *unstableStore) refuse() error {
+	if s.calls.Add(1)%4 != 0 {
+		return fmt.Errorf("%w: refused by the test", kv.ErrUnavailable)
+	}
+	return nil
+}
+
+func (s *unstableStore) Get(ctx context.Context, key string) (fleet.Item, error) {
+	if err := s.refuse(); err != nil {
+		return fleet.Item{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *unstableStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	if err := s.refuse(); err != nil {
+		return nil, after, err
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a configuration that a store which fails most calls delays by more than
+// the platform allows for such a store (max_stretch_ms, 6 s) beyond the usual limit.
+func TestConfigurationOfAnUnstableStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		backend := standin.NewStore()
+		writeConfig(t, backend, 1, 100)
+		entries := followingEntries(ctx, storesOf(&unstableStore{Store: backend}, 3))
+		for version := uint64(1); version < 10; version++ {
+			requireVersion(t, entries, version, applyLimit+6*time.Second)
+			writeConfig(t, backend, version+1, 100)
+		}
+	})
+}
--- a/internal/fleet/lead/fit_test.go
+++ b/internal/fleet/lead/fit_test.go
@@ -66,3 +66,19 @@
 		require.Equal(t, fleet.ResultNotRun, submit("gone", labelled))
 	})
 }
+
+// Guards against jobs that are accepted although they need what this version does not do.
+func TestJobThatNeedsWhatIsNotBuiltIsRefused(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	entry := NewEntry(l.opts, nil, ConfigSource{})
+	for id, job := range map[string]fleet.Job{
+		"gang": {Steps: []fleet.Step{{Count: 2, Gang: true}}}, "advice": {Policy: fleet.Policy{Advised: true}, Steps: []fleet.Step{{Count: 1}}},
+	} {
+		job.ID = id
+		answer := entry.Submit(t.Context(), job)
+		require.Equal(t, fleet.ResultUnsupported, answer.Result)
+		require.NotEmpty(t, answer.Cause)
+		_, err := l.opts.Store.Get(t.Context(), fleet.JobBase+id)
+		require.True(t, isNotFound(err))
+	}
+}
