lead: test of a stop of all processes depends less on time

The tasks of the VM that crashes last until it does, so none can end before, and the running ones are counted together.

--- a/internal/fleet/lead/evacuate_fleet_test.go
+++ b/internal/fleet/lead/evacuate_fleet_test.go
@@ -130,6 +130,7 @@
 // Guards against work that is lost or runs twice when all processes stop at the same
 // moment, and an executor with them.
 func TestEverythingStopsAtOnce(t *testing.T) {
+	t.Parallel()
 	r := newTestFleet(t, 0, 0, 0)
 	own := &gatedStore{Store: r.store}
 	start := func(vm string, x *standin.Executor, instance string) func() {
@@ -138,13 +139,20 @@
 		_, stop := r.runAgent(vm, listen(t), x, own, e)
 		return stop
 	}
-	first, second := standin.NewExecutor("vm-0", 500*time.Millisecond, r.audit), standin.NewExecutor("vm-1", 500*time.Millisecond, r.audit)
+	// The tasks of the first VM last until it crashes, those of the second until after that.
+	first, second := standin.NewExecutor("vm-0", 0, r.audit), standin.NewExecutor("vm-1", 3*time.Second, r.audit)
 	stops := []func(){start("vm-0", first, "vm-0@1"), start("vm-1", second, "vm-1@1")}
 	job := wideJob("job")
 	r.submit(r.addEntry("first", own), job)
-	for i := range job.Steps[0].Count {
-		require.Eventually(t, func() bool { return r.audit.Running(fleet.TaskID{Job: "job", Index: i}) }, waitTimeout, time.Millisecond)
-	}
+	require.Eventually(t, func() bool {
+		running := 0
+		for i := range job.Steps[0].Count {
+			if r.audit.Running(fleet.TaskID{Job: "job", Index: i}) {
+				running++
+			}
+		}
+		return running == job.Steps[0].Count
+	}, waitTimeout, time.Millisecond)
 	own.shut.Store(true) // they hand nothing over
 	first.Crash()
 	r.stop[0]()
@@ -152,7 +160,7 @@
 		stop()
 	}
 	own = &gatedStore{Store: r.store}
-	start("vm-0", standin.NewExecutor("vm-0", 500*time.Millisecond, r.audit), "vm-0@2")
+	start("vm-0", standin.NewExecutor("vm-0", 50*time.Millisecond, r.audit), "vm-0@2")
 	start("vm-1", second, "vm-1@1")
 	r.await(r.addEntry("second", own), "job", "done")
 	r.requireDoneOnce(job)
