durations: learn run times from runs that have done their task

Cause: estimates are off by 20% to 90%, so the rest of a run and the gain of a place cannot be taken from them.

--- a/internal/fleet/ledger/end.go
+++ b/internal/fleet/ledger/end.go
@@ -48,6 +48,9 @@
 		return
 	}
 	l.countEnd(t, n, e, "end")
+	if r := t.Current; current && r.timed && l.done != nil && e.Reason == fleet.EndDone && !t.Step.Spec.Lasting {
+		l.done(r, r.workedUntil(now))
+	}
 	t.Current, t.EndedRun, t.LastRun, t.LastNode = nil, max(t.EndedRun, e.Run), max(t.LastRun, e.Run), n.Name
 	t.Step.Job.Started = true
 	if e.Checkpoint != "" {
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -54,6 +54,10 @@
 	withheld      bool      // not ordered from the present instance
 	repeated      bool      // its start was ordered in several sessions
 	stopListedAt  time.Time // when it was first listed after its stop was last ordered
+	// worked is how long it has worked until PaceSince, as time at full speed. It is exact
+	// only if timed: this leader has started the run without a checkpoint, once.
+	worked time.Duration
+	timed  bool
 }
 
 // Task is one task of an occurrence of a job.
@@ -222,6 +226,7 @@
 	longestLease time.Duration
 	maxAttempts  func(*Job) int
 	log          func(Event)
+	done         func(*Run, time.Duration)
 	scheduled    []*Occurrence      // of jobs that repeat, not due yet, by due time
 	openSteps    map[*Step]struct{} // steps whose tasks may start
 	unstored     []*Job             // jobs with progress to be stored, longest first
@@ -242,13 +247,17 @@
 	// Attempts returns the number of failed runs of a task at which the job fails.
 	Attempts func(*Job) int
 	Log      func(Event)
+	// Done, unless nil, is called with each run that has done its task and that this
+	// leader has started from the beginning, and how long it has worked, as time at full
+	// speed.
+	Done func(r *Run, worked time.Duration)
 }
 
 // New returns an empty ledger for a term that starts at o.Takeover.
 func New(o Options) *Ledger {
 	return &Ledger{
 		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease, longestLease: o.LongestLease,
-		maxAttempts: o.Attempts, log: o.Log, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
+		maxAttempts: o.Attempts, log: o.Log, done: o.Done, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 		cancelledEarly: map[string]time.Time{}, early: map[string][]earlyEnd{},
 	}
 }
@@ -470,7 +479,7 @@
 // executor.
 func (l *Ledger) Start(t *Task, n *Node, ticket string, now time.Time) {
 	t.LastRun++
-	r := &Run{ID: t.ID, Number: t.LastRun, Task: t, Node: n, State: Starting, Since: now, ProgressedAt: now, PaceSince: now, Pace: fullPace}
+	r := &Run{ID: t.ID, Number: t.LastRun, Task: t, Node: n, State: Starting, Since: now, ProgressedAt: now, PaceSince: now, Pace: fullPace, timed: t.Checkpoint == ""}
 	t.Current, t.LastNode = r, n.Name
 	n.Runs[t.ID] = r
 	n.changes++
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -826,3 +826,28 @@
 	w.ledger.Tick(w.now, w.now)
 	require.Contains(t, n.Runs, taskOf("job"), "it may go on")
 }
+
+// Guards against durations learned from runs that were paused, that began from a
+// checkpoint or that another leader has started, as if they had worked at full speed.
+func TestDoneRunsReportTheirWork(t *testing.T) {
+	w := newFixture(t, "a")
+	worked := map[string]time.Duration{}
+	w.ledger.done = func(r *Run, d time.Duration) { worked[r.ID.Job] = d }
+	w.list("a", nil)
+	var running []fleet.Running
+	for _, job := range []string{"slowed", "resumed", "failed"} {
+		w.add(job, false, one())
+		w.ledger.taskByID(taskOf(job)).Checkpoint = map[string]string{"resumed": "c"}[job]
+		w.start("a")
+		running = append(running, runningOf(taskOf(job), 1)...)
+	}
+	w.add("adopted", false, one())
+	running = append(running, runningOf(taskOf("adopted"), 1)...)
+	w.list("a", running)
+	w.now = w.now.Add(time.Second)
+	w.ledger.Pace(w.node("a").Runs[taskOf("slowed")], 50, w.now)
+	w.now = w.now.Add(time.Second)
+	w.list("a", nil, w.end("a", taskOf("slowed"), 1, fleet.EndDone), w.end("a", taskOf("resumed"), 1, fleet.EndDone),
+		w.end("a", taskOf("failed"), 1, fleet.EndFailed), w.end("a", taskOf("adopted"), 1, fleet.EndDone))
+	require.Equal(t, map[string]time.Duration{"slowed": 1500 * time.Millisecond}, worked)
+}
--- a/internal/fleet/ledger/orders.go
+++ b/internal/fleet/ledger/orders.go
@@ -52,11 +52,21 @@
 	return r.Pace
 }
 
+// workedUntil returns how long the run has worked until now, as time at full speed.
+func (r *Run) workedUntil(now time.Time) time.Duration {
+	return r.worked + now.Sub(r.PaceSince)*time.Duration(r.PaceNow())/fullPace
+}
+
+// FromStart reports whether the run began at Since without a checkpoint, so that its
+// progress since then shows its speed.
+func (r *Run) FromStart() bool { return r.timed }
+
 // Pace orders a pace for a run, unless it has that pace or is not running.
 func (l *Ledger) Pace(r *Run, percent int, now time.Time) {
 	if r.Pace == percent || r.State != Running {
 		return
 	}
+	r.worked = r.workedUntil(now)
 	r.Pace, r.PaceSince, r.paceOrdered = percent, now, true
 	r.Node.orders.Paces = append(r.Node.orders.Paces, PaceOrder{RunRef{r.ID, r.Number}, percent})
 	l.pending[r.Node] = struct{}{}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -118,7 +118,7 @@
 		// The order may have reached the new instance, which is called under the
 		// same id, so it is repeated there.
 		r.lastListing, r.absentFrom, r.startAnswered = 0, 0, false
-		r.confirmedAt, r.survived = time.Time{}, false
+		r.confirmedAt, r.survived, r.timed = time.Time{}, false, false
 		if r.State == Running {
 			r.State = Starting
 		}
@@ -229,7 +229,7 @@
 	}
 	for _, run := range n.Runs {
 		if first && run.paceOrdered { // the last one may be lost with the last session
-			run.Pace = unknownPace
+			run.Pace, run.timed = unknownPace, false
 		}
 		if p, absent := absentFrom(run, r, now); absent {
 			l.closeRun(run, p, now, retryDelay)
@@ -249,7 +249,7 @@
 		l.deferStart(r)
 	case r.State == Starting && r.Task != nil:
 		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
-		r.repeated = true
+		r.repeated, r.timed = true, false
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
 		r.stopListedAt = time.Time{}
