lead: tasks wait for the rack with their data where it pays

Change: bounds.far_x reaches the planner, which leaves a task for a later plan if package near says so, forecasts room only for racks that such tasks name, prefers one rack for steps with same_rack, and counts what has become of the waits. Without far_x or at most 1 placement is as before.

--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -73,6 +73,7 @@
 	StoreLease time.Duration        // shortest lease that the store grants
 	CPUShare   float64              // share of a core that the entry gets; below 1, it campaigns later
 	LinkRate   float64              // bytes per second of the network link; 0: not known
+	FarFactor  float64              // ratio of the run time of a task away from its data to that beside it; at most 1: tasks do not wait for a rack
 	Config     func() *fleet.Config // set by NewEntry
 	Log        *log.Logger
 	Metrics    *Metrics
@@ -126,6 +127,8 @@
 	exclusiveSince uint64
 	watched        uint64        // store revision up to which the changes of the watched keys are applied
 	jobsAsked      askedRevision // once it is watched, the jobs stored before are known
+	vainLogged     time.Time     // last log line on a wait in vain
+	vainUnlogged   int           // waits in vain since then
 }
 
 // askedRevision is a revision that the store had in answer to a call sent at a time.
@@ -140,8 +143,9 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
-	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent})
+	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
+	l.planner.locality = newLocality(o.FarFactor, l.reportPlacement)
 	return l
 }
 
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/durations"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/place"
 	"vanillalock.example/vanillalock/internal/fleet/probation"
@@ -65,6 +66,8 @@
 	lastMark       time.Time            // last selection of the VMs kept for filling tasks
 	sizes          probation.Groups     // of the groups in which suspects start
 	suspectGroups  []startedGroup       // whose end is not known
+	durations      *durations.Model
+	locality       *locality
 }
 
 // newPlanner returns a planner of the tasks of a ledger. The functions are those of the
@@ -73,6 +76,7 @@
 	return planner{
 		ledger: l, policy: policy, estimator: tail.NewEstimator(), toMove: map[*ledger.Run]struct{}{},
 		cache: map[string]*vmCacheEntry{}, budget: budget, holdsSpec: holdsSpec, orderedSpecs: map[specKey]struct{}{},
+		durations: durations.New(), locality: newLocality(0, nil),
 	}
 }
 
@@ -105,10 +109,12 @@
 	p.sortReady(ready, now)
 	clear(p.orderedSpecs)
 	failed := place.Failed{}
+	p.locality.begin(failed, now)
 	p.startSuspects(ready, vms, nodes, failed, now)
 	searches := 0
 	for _, r := range ready {
 		left := p.startTasks(r, vms, nodes, failed, now)
+		p.locality.addUnplaced(left, r)
 		if left == nil || left.Fills || searches == maxPreemptSearches {
 			continue
 		}
@@ -124,6 +130,7 @@
 	var ranking *place.Ranking
 	var ranked place.Task // the task that ranking is for
 	use := expectedUse(r.Step.Spec)
+	rack := p.sharedRack(r, vms, now)
 	for _, t := range r.Tasks {
 		if t.Suspect() {
 			continue
@@ -132,6 +139,7 @@
 			return nil
 		}
 		task := p.describeTask(t, now)
+		task.DataRack = cmp.Or(task.DataRack, rack)
 		if ranking == nil || task != ranked {
 			if failed.Covers(&task) {
 				return &task
@@ -139,6 +147,9 @@
 			ranked = task
 			ranking = place.Rank(&ranked, vms, p.estimator.DisturbanceProbability)
 		}
+		if p.waitsForNear(t, &task, ranking.Best(), vms, nodes, now) {
+			continue
+		}
 		i := ranking.Take(use)
 		if i < 0 {
 			failed.Add(&task)
@@ -281,7 +292,7 @@
 	s := t.Step.Spec
 	out := place.Task{
 		Key: stepKey(t.ID), Pool: p.policy(t.Step.Job).Pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
-		Label: s.Label, DataRack: s.DataRack, MaxPerVM: s.MaxPerVM,
+		Label: s.Label, DataRack: s.DataRack, FarFactor: p.locality.farFactor, MaxPerVM: s.MaxPerVM,
 		Forced: s.Fills && now.Sub(t.ReadySince) > forceAfter,
 	}
 	if t.EndedRun > 0 {
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -60,12 +60,13 @@
 	Lasting   bool // runs until it is cancelled
 	Count     int  // number of tasks of the step
 	Image     string
-	Label     string // label that the VM must have
-	DataRack  string // label of the rack that holds the task's data
-	MaxPerVM  int    // largest number of tasks of the step on a VM; 0: no limit
-	AvoidName string // VM of the last run, if that did not end well
-	Isolated  bool   // goes where the fewest other tasks start and run
-	Forced    bool   // has waited long: accepts a VM with much Trouble, or less CPU than it wants
+	Label     string  // label that the VM must have
+	DataRack  string  // label of the rack that holds the task's data
+	FarFactor float64 // ratio of the run time on other racks to that on DataRack; 0: not known
+	MaxPerVM  int     // largest number of tasks of the step on a VM; 0: no limit
+	AvoidName string  // VM of the last run, if that did not end well
+	Isolated  bool    // goes where the fewest other tasks start and run
+	Forced    bool    // has waited long: accepts a VM with much Trouble, or less CPU than it wants
 }
 
 // Weights of the score in cores: how many free cores offset one unit of each.
@@ -83,6 +84,8 @@
 	startingTasks    = 50.0   // tasks that count as much for that as one that starts
 	noServingBonus   = 30.0   // bonus: a VM without serving tasks, for a filling task
 	milli            = 1000.0
+	// defaultFarFactor is the factor that farCores is meant for.
+	defaultFarFactor = 1.5
 )
 
 // Limits of the disturbance of serving tasks.
@@ -197,11 +200,24 @@
 	}
 }
 
+// Release removes a task that Take has added, as far as it concerns Reserved, Busy and
+// Filling.
+func (vm *VM) Release(t *Task, busy int64) {
+	need := t.Need
+	if t.Fills {
+		vm.Filling -= need.MilliCPU
+		need.MilliCPU = 0
+	} else {
+		vm.Busy -= busy
+	}
+	vm.Reserved = vm.Reserved.Sub(need)
+}
+
 // score returns the score of a VM for a task that fits on it; higher is better.
 func score(t *Task, vm *VM, interference Interference) float64 {
 	s := -troubleCores * vm.Trouble
 	if t.DataRack != "" && !slices.Contains(vm.Labels, t.DataRack) {
-		s -= farCores
+		s -= farPenalty(t.FarFactor)
 	}
 	if vm.Name == t.AvoidName {
 		s -= avoidCores
@@ -227,6 +243,15 @@
 	}
 }
 
+// farPenalty returns the cores that offset a start outside of DataRack, in proportion to
+// the additional run time.
+func farPenalty(farFactor float64) float64 {
+	if farFactor <= 1 {
+		return farCores
+	}
+	return farCores * (farFactor - 1) / (defaultFarFactor - 1)
+}
+
 // expectedHarm adds up the probabilities that a filling task disturbs the serving
 // tasks of a VM. Those near their targets count twice.
 func expectedHarm(t *Task, vm *VM, interference Interference) float64 {
--- a/internal/fleet/place/ranking.go
+++ b/internal/fleet/place/ranking.go
@@ -25,6 +25,14 @@
 	return r
 }
 
+// Best returns the index of the VM that Take would choose, or -1.
+func (r *Ranking) Best() int {
+	if len(r.best) == 0 {
+		return -1
+	}
+	return r.best[0].vm
+}
+
 // Take adds a task to the VM with the best score and returns the index of that VM,
 // or -1 if the task fits on none. busy is as in VM.Take.
 func (r *Ranking) Take(busy int64) int {
@@ -112,6 +120,16 @@
 	return k
 }
 
+// HasPool reports whether a task of a pool fits on no VM.
+func (f Failed) HasPool(pool string) bool {
+	for k := range f {
+		if k.pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
 // Add records that a task fits on no VM. A limit per VM may be the reason, which
 // says nothing of other tasks.
 func (f Failed) Add(t *Task) {
--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -130,7 +130,7 @@
 func newFleetEntry(s platform.Settings, store *platform.Store, listener net.Listener) *lead.Entry {
 	return lead.NewEntry(lead.Options{
 		Node: s.Node, Advertise: listener.Addr().String(), Store: store, MaxLease: s.Bounds.MaxLease,
-		StatusKept: s.Bounds.StatusKept, StoreLease: s.StoreLeaseMin, CPUShare: s.CPUShare, LinkRate: s.LinkRate, Log: obs.Logger("entry"),
+		StatusKept: s.Bounds.StatusKept, StoreLease: s.StoreLeaseMin, CPUShare: s.CPUShare, LinkRate: s.LinkRate, FarFactor: s.Bounds.FarFactor, Log: obs.Logger("entry"),
 		Metrics: lead.NewMetrics("fleet"),
 	}, listener, lead.ConfigSource{Prefix: platform.OperatorBase, Key: platform.ConfigKey, Decode: platform.DecodeConfig})
 }
