--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -135,7 +135,7 @@
 	return lead.NewEntry(lead.Options{
 		Node: s.Node, Advertise: listener.Addr().String(), Store: store, MaxLease: s.Bounds.MaxLease,
 		StatusKept: s.Bounds.StatusKept, StoreLease: s.StoreLeaseMin, CPUShare: s.CPUShare, LinkRate: s.LinkRate, Log: obs.Logger("entry"),
-		Metrics: lead.NewMetrics("fleet"), EvacuationPrefix: evacuations,
+		Metrics: lead.NewMetrics("fleet"), EvacuationPrefix: evacuations, FarFactor: s.Bounds.FarFactor,
 	}, listener, lead.ConfigSource{Prefix: platform.OperatorBase, Key: platform.ConfigKey, Decode: platform.DecodeConfig})
 }
 
