ingress: protect processes against uncontrolled clients

Cause: endless or oversized heads, many short header lines and many bodies of legal size exhausted the memory of an entry or agent (up to 1.9 GB with 200 connections); nothing bounded open connections.

Change: internal/ingress accounts for what all connections hold and closes the longest stalled one, or refuses, before the memory or the descriptors of the settings (limits.memory_mb, limits.max_fds) are exhausted. It counts the bytes and lines of heads before net/http holds them, charges bodies as they are read, and applies the limits of the operators' configuration. It guards the addresses of callers, readiness checks, announcements and metrics, and the sessions, for which wire reports what they hold and allocates large frames as they come. The garbage collector gets a limit of three quarters of memory_mb.

--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -6,10 +6,12 @@
 	"expvar"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,8 +20,10 @@
 	"go.uber.org/fx/fxevent"
 
 	"vanillalock.example/vanillalock/internal/command"
+	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/lead"
 	"vanillalock.example/vanillalock/internal/fleet/side"
+	"vanillalock.example/vanillalock/internal/ingress"
 	"vanillalock.example/vanillalock/internal/obs"
 	"vanillalock.example/vanillalock/platform"
 )
@@ -31,8 +35,6 @@
 	// which come once a second.
 	deregistrationDelay = 2500 * time.Millisecond
 	drainTimeout        = 2500 * time.Millisecond // for requests in flight; the sum of both times is below the 6 s before SIGKILL
-	headerTimeout       = 3 * time.Second
-	idleTimeout         = 15 * time.Second
 )
 
 // metricsPort is the port that serves counters and latencies as expvar variables.
@@ -41,11 +43,12 @@
 
 // serveMetrics serves the metrics of the process. An error such as a port in use is
 // only logged, because the process works without them.
-func serveMetrics(s platform.Settings, logger *log.Logger) {
+func serveMetrics(s platform.Settings, guard *ingress.Guard, logger *log.Logger) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	failed := make(chan error, 1)
-	if err := serveOn(net.JoinHostPort(s.IP, fmt.Sprint(metricsPort)), newServer(mux), failed); err != nil {
+	address := net.JoinHostPort(s.IP, fmt.Sprint(metricsPort))
+	if err := serveOn(guard, address, ingress.Metrics, defaultLimits, ingress.NewServer(mux), failed); err != nil {
 		logger.Warn("Metrics are not served.", "err", err)
 	}
 }
@@ -60,11 +63,12 @@
 		return err
 	}
 	var entry *lead.Entry
+	var guard *ingress.Guard
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
-		fx.Provide(newFleetStore, newSessionListener, newFleetEntry),
-		fx.Populate(&entry),
+		fx.Provide(newFleetStore, newGuard, newSessionListener, newFleetEntry),
+		fx.Populate(&entry, &guard),
 	)
 	if err := app.Err(); err != nil {
 		return err
@@ -72,8 +76,8 @@
 	logger := obs.Logger("entry")
 	logger.Info("Starting.", "vm", s.Node, "address", s.Frontend)
 	reloadOnHangup(ctx, s, logger)
-	serveMetrics(s, logger)
-	return serveFleetEntry(ctx, s, entry, logger)
+	serveMetrics(s, guard, logger)
+	return serveFleetEntry(ctx, s, entry, guard, logger)
 }
 
 // fleetSettings sets up logging to out and loads the platform's settings.
@@ -115,10 +119,10 @@
 
 // newSessionListener listens on the first free port of the range that the platform
 // reserves for sessions between entries and agents.
-func newSessionListener(s platform.Settings) (net.Listener, error) {
+func newSessionListener(s platform.Settings, guard *ingress.Guard) (net.Listener, error) {
 	var lastErr error
 	for port := s.FirstPort; port <= s.LastPort; port++ {
-		listener, err := net.Listen("tcp", net.JoinHostPort(s.IP, fmt.Sprint(port)))
+		listener, err := guard.Listen(net.JoinHostPort(s.IP, fmt.Sprint(port)), ingress.Sessions, nil)
 		if err == nil {
 			return listener, nil
 		}
@@ -138,16 +142,17 @@
 // serveFleetEntry serves callers and readiness checks until ctx ends. It then fails
 // the readiness checks, still accepts requests for deregistrationDelay and drains
 // those in flight.
-func serveFleetEntry(ctx context.Context, s platform.Settings, entry *lead.Entry, logger *log.Logger) error {
+func serveFleetEntry(ctx context.Context, s platform.Settings, entry *lead.Entry, guard *ingress.Guard, logger *log.Logger) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	front := newServer(platform.NewFrontend(entry))
-	ready := newServer(platform.ReadyHandler(entry))
+	front := ingress.NewServer(platform.NewFrontend(entry))
 	failed := make(chan error, 2)
-	for address, server := range map[string]*http.Server{s.Frontend: front, s.Ready: ready} {
-		if err := serveOn(address, server, failed); err != nil {
-			return err
-		}
+	limits := func() ingress.Limits { return limitsOf(entry.Config()) }
+	if err := serveOn(guard, s.Frontend, ingress.Main, limits, front, failed); err != nil {
+		return err
+	}
+	if err := serveOn(guard, s.Ready, ingress.Ready, limits, ingress.NewServer(platform.ReadyHandler(entry)), failed); err != nil {
+		return err
 	}
 	go func() { _ = entry.Run(run) }()
 	select {
@@ -165,16 +170,33 @@
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+// newGuard returns the guard of the process against its clients, and has the garbage
+// collector keep to the limit of the memory. A limit in the environment takes precedence.
+func newGuard(s platform.Settings) *ingress.Guard {
+	if limit := ingress.CollectorLimit(s.MemoryMB); limit > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(limit)
+	}
+	return ingress.NewGuard(ingress.Options{
+		MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Log: obs.Logger("ingress"), Metrics: obs.NewMetrics("ingress"),
+	})
+}
+
+func defaultLimits() ingress.Limits { return ingress.DefaultLimits }
+
+// limitsOf returns the limits of requests in a configuration, which may be nil.
+func limitsOf(c *fleet.Config) ingress.Limits {
+	if c == nil {
+		return ingress.DefaultLimits
+	}
+	return ingress.Limits{HeadBytes: c.MaxHeader, HeadTime: c.HeaderTime, IdleTime: c.IdleTime}
 }
 
 // serveOn starts to serve on address and returns. An error that ends the server later
 // is sent to failed.
-func serveOn(address string, server *http.Server, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+func serveOn(guard *ingress.Guard, address string, group ingress.Group, limits func() ingress.Limits, server *http.Server, failed chan<- error) error {
+	listener, err := guard.Listen(address, group, limits)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
+		return err
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -193,11 +215,12 @@
 		return err
 	}
 	var agent *side.Agent
+	var guard *ingress.Guard
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
-		fx.Provide(newFleetStore, newSessionListener, newFleetAgent),
-		fx.Populate(&agent),
+		fx.Provide(newFleetStore, newGuard, newSessionListener, newFleetAgent),
+		fx.Populate(&agent, &guard),
 	)
 	if err := app.Err(); err != nil {
 		return err
@@ -205,9 +228,9 @@
 	logger := obs.Logger("agent")
 	logger.Info("Starting.", "vm", s.Node, "executor", s.Executor)
 	reloadOnHangup(ctx, s, logger)
-	serveMetrics(s, logger)
+	serveMetrics(s, guard, logger)
 	failed := make(chan error, 1)
-	if err := serveOn(s.Announce, newServer(platform.AnnounceHandler(agent)), failed); err != nil {
+	if err := serveOn(guard, s.Announce, ingress.Main, defaultLimits, ingress.NewServer(platform.AnnounceHandler(agent)), failed); err != nil {
 		return err
 	}
 	go func() { failed <- agent.Run(ctx) }()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,15 @@
 	writeTimeout = 2 * time.Second
 	// frameOverhead is the size of a yamux header and of a frame's length.
 	frameOverhead = 14
+	// handshakeTimeout is the time in which the peer of an accepted session with a Guard
+	// sends its first frame. The processes send it at once; the time covers a lost segment.
+	handshakeTimeout = 5 * time.Second
+	// maxStreams bounds the streams of a session with a Guard that are not closed at both
+	// ends. An entry opens one for each request that the leader has not answered.
+	maxStreams = 1024
+	// smallFrame is the largest frame whose memory is allocated before its bytes have come.
+	smallFrame  = 16 << 10
+	firstGrowth = 4 << 10 // of the memory for a larger one
 	// acceptBacklog bounds the streams that the peer may open before they are
 	// accepted. It is above the 64 connections of an upstream and takes 2 KB.
 	acceptBacklog = 256
@@ -68,9 +78,29 @@
 	BytesReceived atomic.Uint64
 }
 
+// Guard accounts for what an accepted session holds. A connection that implements it is
+// told of the bytes that have come for streams until the frame that they belong to has been
+// read, and of open streams.
+type Guard interface {
+	// Hold charges bytes. An error ends the session.
+	Hold(bytes int64) error
+	// Release returns bytes that were charged.
+	Release(bytes int64)
+	// HoldStream charges a stream. An error ends the session.
+	HoldStream() error
+	// ReleaseStream returns what HoldStream has charged.
+	ReleaseStream()
+	// Begin tells that the first frame has come.
+	Begin()
+	// EndUnbegun tells that the session is closed because no frame has come.
+	EndUnbegun()
+}
+
 // Session is one connection to another process. It is safe for concurrent use.
 type Session struct {
-	mux *yamux.Session
+	mux   *yamux.Session
+	guard Guard // nil: none
+	begun atomic.Bool
 
 	mu      sync.Mutex
 	closing bool
@@ -113,6 +143,7 @@
 // Accept starts a session on a connection of a listener, which has done TLS.
 func Accept(conn net.Conn, cfg Config) (*Session, error) {
 	counted := newConn(conn, cfg.Stats)
+	counted.guard, _ = conn.(Guard)
 	muxCfg := muxConfig(cfg.SilenceTimeout)
 	muxCfg.EnableKeepAlive = false
 	mux, err := yamux.Server(counted, muxCfg)
@@ -121,6 +152,7 @@
 		return nil, fmt.Errorf("start session: %w", err)
 	}
 	session := newSession(mux)
+	session.guard = counted.guard
 	go session.watch(counted, cmp.Or(cfg.SilenceTimeout, DefaultSilenceTimeout))
 	return session, nil
 }
@@ -152,6 +184,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrClosed, err)
 	}
+	if s.guard != nil {
+		if s.mux.NumStreams() > maxStreams {
+			err = fmt.Errorf("%w: more than %d streams", ErrClosed, maxStreams)
+		} else {
+			err = s.guard.HoldStream()
+		}
+		if err != nil {
+			_ = s.Close()
+			return nil, fmt.Errorf("%w: %w", ErrClosed, err)
+		}
+	}
 	return s.newStream(stream), nil
 }
 
@@ -179,11 +222,27 @@
 	counted *atomic.Uint64
 	stream  *yamux.Stream
 	reader  *bufio.Reader
+	taken   takenReader // under reader
+	closed  bool        // Close has been called, under the session's mu
 	sendMu  sync.Mutex
 }
 
+// takenReader counts the bytes that have been read from a stream since the guard was told.
+type takenReader struct {
+	from  io.Reader
+	bytes int64
+}
+
+// Read implements io.Reader.
+func (r *takenReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
+
 func (s *Session) newStream(stream *yamux.Stream) *Stream {
-	out := &Stream{session: s, stream: stream, reader: bufio.NewReaderSize(stream, 1024)}
+	out := &Stream{session: s, stream: stream, taken: takenReader{from: stream}}
+	out.reader = bufio.NewReaderSize(&out.taken, 1024)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams[out] = struct{}{}
@@ -244,6 +303,13 @@
 	if err == nil {
 		s.count(frame)
 	}
+	if guard := s.session.guard; guard != nil {
+		guard.Release(s.taken.bytes)
+		s.taken.bytes = 0
+		if err == nil && s.session.begun.CompareAndSwap(false, true) {
+			guard.Begin()
+		}
+	}
 	return frame, err
 }
 
@@ -251,17 +317,51 @@
 func (s *Stream) Close() error {
 	s.session.mu.Lock()
 	delete(s.session.streams, s)
+	first := !s.closed
+	s.closed = true
 	s.session.mu.Unlock()
+	if first && s.session.guard != nil {
+		s.session.guard.ReleaseStream()
+	}
 	return s.stream.Close()
 }
 
-// ReadFrame decodes one frame of at most MaxFrameBytes.
+// ReadFrame decodes one frame of at most MaxFrameBytes. The memory for a large frame is
+// allocated as its bytes come: a peer may state a size and send nothing.
 func ReadFrame(reader protodelim.Reader) (*pb.Frame, error) {
-	frame := &pb.Frame{}
-	err := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}.UnmarshalFrom(reader, frame)
+	size, err := binary.ReadUvarint(reader)
 	if err != nil {
 		return nil, fmt.Errorf("read frame: %w", err)
 	}
+	if size > MaxFrameBytes {
+		return nil, fmt.Errorf("read frame: its size of %d bytes exceeds the maximum of %d", size, MaxFrameBytes)
+	}
+	var raw []byte
+	buffered, _ := reader.(*bufio.Reader)
+	switch {
+	case buffered != nil && int(size) <= buffered.Size():
+		if raw, err = buffered.Peek(int(size)); err == nil {
+			defer func() { _, _ = buffered.Discard(int(size)) }() // cannot fail after Peek
+		}
+	case size <= smallFrame:
+		raw = make([]byte, size)
+		_, err = io.ReadFull(reader, raw)
+	default:
+		var out bytes.Buffer
+		out.Grow(firstGrowth)
+		_, err = io.CopyN(&out, reader, int64(size))
+		raw = out.Bytes()
+	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	frame := &pb.Frame{}
+	if err := proto.Unmarshal(raw, frame); err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
 	return frame, nil
 }
 
@@ -285,6 +385,8 @@
 	stats    *Stats
 	received atomic.Int64 // monotonic time of the last read, since epoch
 	header   []byte       // held until its body is written
+	guard    Guard        // nil: none
+	incoming incoming
 }
 
 // epoch is the origin of conn.received.
@@ -306,9 +408,46 @@
 	if n > 0 {
 		c.received.Store(int64(time.Since(epoch)))
 	}
+	if c.guard != nil {
+		if bytes := c.incoming.scan(p[:n]); bytes > 0 {
+			if refused := c.guard.Hold(bytes); refused != nil {
+				return 0, refused
+			}
+		}
+	}
 	return n, err
 }
 
+// incoming follows the frames of yamux that are received, to count the bytes of streams.
+type incoming struct {
+	header [headerBytes]byte
+	have   int    // bytes of the header
+	body   uint32 // bytes of the body that have not come
+}
+
+// scan takes bytes and returns how many of them are of bodies.
+func (f *incoming) scan(p []byte) (bodies int64) {
+	for len(p) > 0 {
+		if f.body > 0 {
+			n := min(uint64(len(p)), uint64(f.body))
+			f.body -= uint32(n)
+			bodies += int64(n)
+			p = p[n:]
+			continue
+		}
+		n := copy(f.header[f.have:], p)
+		f.have += n
+		p = p[n:]
+		if f.have == headerBytes {
+			f.have = 0
+			if f.header[typeOffset] == typeData {
+				f.body = binary.BigEndian.Uint32(f.header[lengthOffset:])
+			}
+		}
+	}
+	return bodies
+}
+
 // The parts of a yamux header that Write looks at: its size, the type of data
 // frames, and the length of the body.
 const (
@@ -337,18 +476,28 @@
 	return len(p), nil
 }
 
-// watch closes the session if it receives nothing for the silence timeout.
+// watch closes the session if it receives nothing for the silence timeout, or no frame for
+// the handshake timeout.
 func (s *Session) watch(c *conn, silence time.Duration) {
 	const checks = 8 // per silence timeout
 	ticker := time.NewTicker(silence / checks)
 	defer ticker.Stop()
+	began := time.Now()
 	for {
 		select {
 		case <-s.Done():
 			return
 		case <-ticker.C:
 		}
-		if time.Since(epoch)-time.Duration(c.received.Load()) >= silence-silence/checks {
+		if s.guard != nil && s.mux.NumStreams() == 0 {
+			// What came for streams that were closed unread has been dropped with them.
+			s.guard.Release(math.MaxInt64)
+		}
+		unbegun := s.guard != nil && !s.begun.Load() && time.Since(began) > handshakeTimeout
+		if unbegun {
+			s.guard.EndUnbegun()
+		}
+		if unbegun || time.Since(epoch)-time.Duration(c.received.Load()) >= silence-silence/checks {
 			_ = s.Close()
 			return
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -73,6 +75,86 @@
 	require.ErrorContains(t, err, "size")
 }
 
+// accountant is a connection that accounts for what its session holds.
+type accountant struct {
+	net.Conn
+	mu      sync.Mutex
+	held    int64
+	streams int
+	limit   int64
+	begun   bool
+}
+
+func (a *accountant) Hold(bytes int64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held+bytes > a.limit {
+		return errors.New("too much")
+	}
+	a.held += bytes
+	return nil
+}
+
+func (a *accountant) Release(bytes int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held = max(0, a.held-bytes)
+}
+
+func (a *accountant) HoldStream() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.streams++
+	return nil
+}
+
+func (a *accountant) ReleaseStream() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.streams--
+}
+
+func (a *accountant) Begin()      { a.begun = true }
+func (a *accountant) EndUnbegun() {}
+
+// Guards against bytes of streams that are not accounted for until their frame is read, and
+// against a session that goes on although its guard refuses what it holds.
+func TestGuardOfASession(t *testing.T) {
+	near, far := net.Pipe()
+	guard := &accountant{Conn: far, limit: 400 << 10}
+	server, err := Accept(guard, Config{})
+	require.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	clientMux, err := yamux.Client(near, muxConfig(0))
+	require.NoError(t, err)
+	client := newSession(clientMux)
+	defer func() { _ = client.Close() }()
+	out, err := client.Open()
+	require.NoError(t, err)
+	body := make([]byte, 200<<10)
+	frame := &pb.Frame{Body: &pb.Frame_Response{Response: &pb.Response{Id: "r", Body: body}}}
+	require.NoError(t, out.Send(frame))
+	in, err := server.AcceptStream()
+	require.NoError(t, err)
+	guard.mu.Lock()
+	require.Greater(t, guard.held, int64(len(body)))
+	guard.mu.Unlock()
+	received, err := in.Receive(0)
+	require.NoError(t, err)
+	require.Len(t, received.GetResponse().GetBody(), len(body))
+	require.Zero(t, guard.held)
+	require.True(t, guard.begun)
+	require.NoError(t, in.Close())
+	_ = in.Close()
+	require.Zero(t, guard.streams)
+	for range 3 {
+		if out, err := client.Open(); err == nil {
+			_ = out.Send(frame) // the server closes the session meanwhile
+		}
+	}
+	<-server.Done()
+}
+
 // Guards against a receive that waits forever on a session whose peer is gone.
 func TestReceiveEndsWhenPeerCloses(t *testing.T) {
 	client, server, _ := pair(t)
