ingress: close new connections without a request after 0.1 s when room is short

Cause: at 0.5 s a crowd that fills the share of an address has newcomers refused for that long, among them readiness checks; 200 stalled connections at the metrics address had a read of the metrics refused. Change: 0.1 s. Measured: the tests of internal/ingress and internal/ingress/crowd pass.

--- a/internal/ingress/budget.go
+++ b/internal/ingress/budget.go
@@ -6,7 +6,7 @@
 // shorter pauses, except for lost segments that are sent again.
 const (
 	stallTime    = 2 * time.Second
-	newStallTime = 500 * time.Millisecond // on a connection that has not had a request served
+	newStallTime = 100 * time.Millisecond // on a connection that has not had a request served; readiness checks fail while no room is made
 )
 
 // smallBytes is what a connection may hold beside its own cost and be closed only after
