lead: the test of evacuated domains waits for the withdrawals to reach the agent

The test let the executor answer again while the stops were still on their way to the agent, which may repeat a start until then: the platform leaves 5 s for this.

--- a/internal/fleet/lead/evacuate_fleet_test.go
+++ b/internal/fleet/lead/evacuate_fleet_test.go
@@ -42,10 +42,12 @@
 	return c.starts[executor]
 }
 
-// deafExecutor is an executor that does not answer starts while deaf is set.
+// deafExecutor is an executor that does not answer starts while deaf is set. It counts the
+// stops that it is given.
 type deafExecutor struct {
 	*standin.Executor
-	deaf atomic.Bool
+	deaf  atomic.Bool
+	stops atomic.Int64
 }
 
 func (x *deafExecutor) Start(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, o fleet.StartOrder) (fleet.OrderResult, error) {
@@ -55,6 +57,11 @@
 	return x.Executor.Start(ctx, e, only, fence, o)
 }
 
+func (x *deafExecutor) Stop(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, task fleet.TaskID, run int) (fleet.OrderResult, error) {
+	x.stops.Add(1)
+	return x.Executor.Stop(ctx, e, only, fence, task, run)
+}
+
 // logBuffer collects the log of a process.
 type logBuffer struct {
 	mu  sync.Mutex
@@ -67,12 +74,14 @@
 	return b.buf.Write(p)
 }
 
-func (b *logBuffer) contains(text string) bool {
+func (b *logBuffer) count(text string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strings.Contains(b.buf.String(), text)
+	return strings.Count(b.buf.String(), text)
 }
 
+func (b *logBuffer) contains(text string) bool { return b.count(text) > 0 }
+
 // wideJob returns a job of which the tasks of the first step do not fit on one VM together.
 func wideJob(id string) fleet.Job {
 	job := jobOf(id, 8)
@@ -112,7 +121,12 @@
 	r.submit(entry, job)
 	require.Eventually(t, func() bool { return out.contains("task=unconfirmed.0.0.7") }, waitTimeout, time.Millisecond, "all tasks are ordered")
 	r.put(evacuationPrefix+"east", struct{}{})
-	require.Eventually(t, func() bool { return out.contains("start withdrawn") }, waitTimeout, time.Millisecond)
+	// Until the agent has the stops it may repeat the starts, within the time that an
+	// evacuation leaves for it.
+	require.Eventually(t, func() bool {
+		stops := executors["east"].stops.Load()
+		return stops > 0 && stops >= int64(out.count("start withdrawn"))
+	}, waitTimeout, time.Millisecond)
 	earlier := counter.on("east")
 	executors["east"].deaf.Store(false)
 	r.await(entry, "unconfirmed", "done")
