place: name the filters and the parts of a score

Cause: an explanation of a placement needs the filter that excludes a VM and what a score consists of, and must not copy the conditions.

--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -22,30 +22,33 @@
 
 // VM describes a VM as a candidate for a task. Busy, Lasting and Filling are in
 // thousandths of a core.
+//
+// The JSON form is that of a recorded state. It is for the placement of new jobs, for
+// which Steps and Jobs have nothing.
 type VM struct {
-	Name          string
-	Pool          string
-	Labels        []string
-	Capacity      structs.Resources
-	Reserved      structs.Resources // CPU of all but the filling tasks; memory and accelerators of all tasks
-	Busy          int64             // estimated use by all but the filling tasks
-	Lasting       int64             // reserved by lasting tasks
-	Filling       int64             // wanted by filling tasks
-	Serving       []ServingTask     // serving tasks on the VM
-	FillingOnly   bool              // kept free of serving tasks, where possible
-	Closed        bool              // takes no further tasks for now
-	Tasks         int               // number of tasks
-	Starting      int               // number of tasks that have just been started
-	Trouble       float64           // decaying count of recently failed and refused runs
-	MedianTrouble float64           // median Trouble of the pool
-	Steps         map[StepKey]int   // number of tasks, by step; only of steps with a MaxPerVM
-	Jobs          map[string]int    // number of lasting tasks, by job
+	Name          string            `json:"name"`
+	Pool          string            `json:"pool"`
+	Labels        []string          `json:"labels,omitempty"`
+	Capacity      structs.Resources `json:"capacity"`
+	Reserved      structs.Resources `json:"reserved"`                 // CPU of all but the filling tasks; memory and accelerators of all tasks
+	Busy          int64             `json:"busy,omitempty"`           // estimated use by all but the filling tasks
+	Lasting       int64             `json:"lasting,omitempty"`        // reserved by lasting tasks
+	Filling       int64             `json:"filling,omitempty"`        // wanted by filling tasks
+	Serving       []ServingTask     `json:"serving,omitempty"`        // serving tasks on the VM
+	FillingOnly   bool              `json:"filling_only,omitempty"`   // kept free of serving tasks, where possible
+	Closed        bool              `json:"closed,omitempty"`         // takes no further tasks for now
+	Tasks         int               `json:"tasks,omitempty"`          // number of tasks
+	Starting      int               `json:"starting,omitempty"`       // number of tasks that have just been started
+	Trouble       float64           `json:"trouble,omitempty"`        // decaying count of recently failed and refused runs
+	MedianTrouble float64           `json:"median_trouble,omitempty"` // median Trouble of the pool
+	Steps         map[StepKey]int   `json:"-"`                        // number of tasks, by step; only of steps with a MaxPerVM
+	Jobs          map[string]int    `json:"-"`                        // number of lasting tasks, by job
 }
 
 // ServingTask is a serving task on a VM.
 type ServingTask struct {
-	Image string
-	Level float64 // tail latency as a share of the target
+	Image string  `json:"image"`
+	Level float64 `json:"level"` // tail latency as a share of the target
 }
 
 // Interference returns the probability that a filling image disturbs a serving one.
@@ -129,28 +132,62 @@
 		if !Fits(t, vm, interference) {
 			continue
 		}
-		if s := score(t, vm, interference); best < 0 || s > bestScore {
+		if s := score(t, vm, interference).Total(); best < 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
 	return best
 }
 
+// filter is a reason why a VM may not run a task.
+type filter uint8
+
+// Filters in the order in which they are checked.
+const (
+	noFilter filter = iota // the VM may run the task
+	filterPool
+	filterClosed
+	filterTrouble
+	filterLabel
+	filterPerVM
+	filterCPU
+	filterMemory
+	filterAccelerators
+	filterInterference
+)
+
 // Fits reports whether a VM may run the task.
 func Fits(t *Task, vm *VM, interference Interference) bool {
-	if vm.Pool != t.Pool || vm.Closed || vm.isExcluded() && !t.Forced {
-		return false
-	}
-	if t.Label != "" && !slices.Contains(vm.Labels, t.Label) {
-		return false
-	}
-	if t.MaxPerVM > 0 && vm.Steps[t.Key] >= t.MaxPerVM {
-		return false
-	}
-	if !ReservedWith(t, vm.Reserved).Fits(vm.Capacity) {
-		return false
+	return firstFilter(t, vm, interference) == noFilter
+}
+
+// firstFilter returns the first filter that keeps the task off a VM.
+func firstFilter(t *Task, vm *VM, interference Interference) filter {
+	with := ReservedWith(t, vm.Reserved)
+	switch {
+	case vm.Pool != t.Pool:
+		return filterPool
+	case vm.Closed:
+		return filterClosed
+	case vm.isExcluded() && !t.Forced:
+		return filterTrouble
+	case t.Label != "" && !slices.Contains(vm.Labels, t.Label):
+		return filterLabel
+	case t.MaxPerVM > 0 && vm.Steps[t.Key] >= t.MaxPerVM:
+		return filterPerVM
+	case with.MilliCPU > vm.Capacity.MilliCPU:
+		return filterCPU
+	case with.MemoryMB > vm.Capacity.MemoryMB:
+		return filterMemory
+	case with.Accelerators > vm.Capacity.Accelerators:
+		return filterAccelerators
+	case t.Fills && !hasIdleCPU(t, vm):
+		return filterCPU
+	case t.Fills && !isTolerable(t, vm, interference):
+		return filterInterference
+	default:
+		return noFilter
 	}
-	return !t.Fills || hasIdleCPU(t, vm) && isTolerable(t, vm, interference)
 }
 
 // maxOvercommit is the share of a VM's CPU by which the filling tasks of a VM may want
@@ -232,37 +269,62 @@
 	vm.Reserved = vm.Reserved.Sub(need)
 }
 
-// score returns the score of a VM for a task that fits on it; higher is better.
-func score(t *Task, vm *VM, interference Interference) float64 {
-	s := -troubleCores * vm.Trouble
+// Score is the score of a VM for a task that fits on it, in cores, by its parts. Negative
+// parts count against the VM.
+type Score struct {
+	Trouble     float64 `json:"trouble,omitempty"`
+	Far         float64 `json:"far,omitempty"`       // outside of DataRack
+	Avoid       float64 `json:"avoid,omitempty"`     // the last run did not end well there
+	Isolation   float64 `json:"isolation,omitempty"` // other tasks, for a task to be isolated
+	NoServing   float64 `json:"no_serving,omitempty"`
+	FillingOnly float64 `json:"filling_only,omitempty"`
+	Excluded    float64 `json:"excluded,omitempty"` // too much Trouble, for a forced task
+	Room        float64 `json:"room,omitempty"`     // CPU that is left; of lasting tasks negative, as the fullest VM is best
+	Harm        float64 `json:"harm,omitempty"`     // expected disturbance of serving tasks
+	Spread      float64 `json:"spread,omitempty"`   // tasks of the same job
+	Images      float64 `json:"images,omitempty"`   // serving tasks of the same image and of others
+}
+
+// Total returns the score; higher is better.
+func (s Score) Total() float64 {
+	return s.Trouble + s.Far + s.Avoid + s.Isolation + s.NoServing + s.FillingOnly + s.Excluded + s.Room + s.Harm + s.Spread + s.Images
+}
+
+// score returns the score of a VM for a task that fits on it.
+func score(t *Task, vm *VM, interference Interference) Score {
+	s := Score{Trouble: -troubleCores * vm.Trouble}
 	if t.DataRack != "" && !slices.Contains(vm.Labels, t.DataRack) {
-		s -= farPenalty(t.FarFactor)
+		s.Far = -farPenalty(t.FarFactor)
 	}
 	if vm.Name == t.AvoidName {
-		s -= avoidCores
+		s.Avoid = -avoidCores
 	}
 	if t.Isolated {
-		s -= isolationCores * (float64(vm.Tasks) + startingTasks*float64(vm.Starting))
+		s.Isolation = -isolationCores * (float64(vm.Tasks) + startingTasks*float64(vm.Starting))
 	}
 	free := float64(vm.Capacity.MilliCPU-vm.Reserved.MilliCPU) / milli
 	switch {
 	case t.Fills:
 		if len(vm.Serving) == 0 {
-			s += noServingBonus
+			s.NoServing = noServingBonus
 		}
-		return s + float64(vm.Spare())/milli - harmCores*expectedHarm(t, vm, interference)
+		s.Room = float64(vm.Spare()) / milli
+		s.Harm = -harmCores * expectedHarm(t, vm, interference)
 	case t.Lasting:
 		// The fullest VM is best, as filling tasks need VMs without serving tasks.
 		if vm.FillingOnly {
-			s -= fillingOnlyCores
+			s.FillingOnly = -fillingOnlyCores
 		}
 		if vm.isExcluded() {
-			s -= excludedCores
+			s.Excluded = -excludedCores
 		}
-		return s - free + spreadScore(t, vm) + imageScore(t, vm)
+		s.Room = -free
+		s.Spread = spreadScore(t, vm)
+		s.Images = imageScore(t, vm)
 	default:
-		return s + free
+		s.Room = free
 	}
+	return s
 }
 
 // farPenalty returns the cores that offset a start outside of DataRack, in proportion to
--- a/internal/fleet/place/ranking.go
+++ b/internal/fleet/place/ranking.go
@@ -18,7 +18,7 @@
 	r := &Ranking{task: t, vms: vms, interference: rememberFor(t, interference)}
 	for i := range vms {
 		if Fits(t, vms[i], r.interference) {
-			r.best = append(r.best, scored{i, score(t, vms[i], r.interference)})
+			r.best = append(r.best, scored{i, score(t, vms[i], r.interference).Total()})
 		}
 	}
 	heap.Init(&r.best)
@@ -42,7 +42,7 @@
 	i := r.best[0].vm
 	r.vms[i].Take(r.task, busy)
 	if Fits(r.task, r.vms[i], r.interference) {
-		r.best[0].score = score(r.task, r.vms[i], r.interference)
+		r.best[0].score = score(r.task, r.vms[i], r.interference).Total()
 		heap.Fix(&r.best, 0)
 	} else {
 		heap.Pop(&r.best)
