tail, durations, queue: what a recorded state of the planner needs

Cause: an explanation of a placement is made from a copy of the planner's state, which can be stored as JSON. Change: Estimator.Evidence, Model.Expectations, names of ranks and JSON names. No decision changes.

--- a/internal/fleet/durations/durations.go
+++ b/internal/fleet/durations/durations.go
@@ -27,18 +27,20 @@
 
 // Class identifies tasks that are expected to share the error of their estimates.
 type Class struct {
-	image, queue string
-	cpu, memory  int // powers of two of the need
-	fills        bool
+	Image  string `json:"image,omitempty"`
+	Queue  string `json:"queue,omitempty"`
+	CPU    int    `json:"cpu,omitempty"`    // of the need, as a power of two
+	Memory int    `json:"memory,omitempty"` // likewise
+	Fills  bool   `json:"fills,omitempty"`
 }
 
 // ClassOf returns the class of the tasks of a step of a queue's job: their image or,
 // without one, the queue with the size of the tasks.
 func ClassOf(queue string, s *fleet.Step) Class {
 	if s.Image != "" {
-		return Class{image: s.Image}
+		return Class{Image: s.Image}
 	}
-	return Class{queue: queue, cpu: bits.Len64(uint64(max(0, s.Need.MilliCPU))), memory: bits.Len64(uint64(max(0, s.Need.MemoryMB))), fills: s.Fills}
+	return Class{Queue: queue, CPU: bits.Len64(uint64(max(0, s.Need.MilliCPU))), Memory: bits.Len64(uint64(max(0, s.Need.MemoryMB))), Fills: s.Fills}
 }
 
 // history sums up the ended runs of a class, with decay.
@@ -113,11 +115,37 @@
 // Expect returns the expected run time at full speed of a task with an estimate. Without an
 // estimate (0) it is the mean of the class, or 0 if nothing is known.
 func (m *Model) Expect(c Class, estimate time.Duration) time.Duration {
-	if estimate > 0 {
-		return time.Duration(m.Ratio(c) * float64(estimate))
-	}
+	return m.expectation(c).Expect(estimate)
+}
+
+func (m *Model) expectation(c Class) Expectation {
+	out := Expectation{Class: c, Ratio: m.Ratio(c)}
 	if h := m.classes[c]; h != nil && h.unestimated > 0 {
-		return time.Duration(h.tookUnestimated / h.unestimated * float64(time.Second))
+		out.Unestimated = time.Duration(h.tookUnestimated / h.unestimated * float64(time.Second))
+	}
+	return out
+}
+
+// Expectation is what a Model expects of a class.
+type Expectation struct {
+	Class       Class         `json:"class"`
+	Ratio       float64       `json:"ratio"`
+	Unestimated time.Duration `json:"unestimated,omitempty"` // run time of tasks without an estimate; 0: not known
+}
+
+// Expectations returns what the model expects of each known class, in no order.
+func (m *Model) Expectations() []Expectation {
+	out := make([]Expectation, 0, len(m.classes))
+	for c := range m.classes {
+		out = append(out, m.expectation(c))
+	}
+	return out
+}
+
+// Expect returns the run time as Model.Expect does, of a class with this expectation.
+func (e Expectation) Expect(estimate time.Duration) time.Duration {
+	if estimate > 0 {
+		return time.Duration(e.Ratio * float64(estimate))
 	}
-	return 0
+	return e.Unestimated
 }
--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -16,14 +16,14 @@
 
 // Item describes a waiting step of a job.
 type Item struct {
-	Priority  int // of the job's queue; 0 is the highest
-	Lasting   bool
-	Fills     bool
-	Accepted  time.Time     // when the job was accepted
-	Objective time.Duration // from then on in which the job has to end; 0: none
+	Priority  int           `json:"priority"` // of the job's queue; 0 is the highest
+	Lasting   bool          `json:"lasting,omitempty"`
+	Fills     bool          `json:"fills,omitempty"`
+	Accepted  time.Time     `json:"accepted"`            // when the job was accepted
+	Objective time.Duration `json:"objective,omitempty"` // from then on in which the job has to end; 0: none
 	// Remaining is the estimated time of the longest chain of dependent steps from this one on.
-	Remaining time.Duration
-	WorkLeft  float64 // share of the work of the job's occurrence that is left, from 0 to 1
+	Remaining time.Duration `json:"remaining,omitempty"`
+	WorkLeft  float64       `json:"work_left"` // share of the work of the job's occurrence that is left, from 0 to 1
 }
 
 // usefulObjectives is the number of objectives after which the outcome of a job is of no
@@ -37,16 +37,24 @@
 	maxFillingDemotion = 2 * time.Minute
 )
 
-// Ranks of items of one priority.
+// Rank orders the items of one priority.
+type Rank uint8
+
+// Ranks, first to last.
 const (
-	inTime = iota
+	inTime Rank = iota
 	lasting
 	late
 	tooLate
 )
 
-// rank returns the rank of an item.
-func (i Item) rank(now time.Time) int {
+// String returns the name of the rank.
+func (r Rank) String() string {
+	return [...]string{"in time", "lasting", "late", "too late"}[r]
+}
+
+// Rank returns the rank of an item.
+func (i Item) Rank(now time.Time) Rank {
 	age := now.Sub(i.Accepted)
 	ends := age + i.Remaining
 	putOff := maxDemotion
@@ -69,7 +77,7 @@
 // share of their work that is left, and of jobs of the same share the newest comes first:
 // the oldest would use up the capacity and be late all the same. Neither favours a size.
 func Compare(a, b Item, now time.Time) int {
-	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank(now), b.rank(now))); c != 0 {
+	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Rank(now), b.Rank(now))); c != 0 {
 		return c
 	}
 	if a.Fills && b.Fills {
--- a/internal/fleet/tail/tail.go
+++ b/internal/fleet/tail/tail.go
@@ -335,11 +335,9 @@
 // at intervals, so it also drops the state of tasks that have ended.
 func (est *Estimator) Export() []Learned {
 	est.dropEnded()
-	var out []Learned
-	for p, e := range est.pairs {
-		if w := e.weight * est.decay(e); math.Abs(w) >= minWeight {
-			out = append(out, Learned{p.serving, p.filling, round(w)})
-		}
+	out := slices.DeleteFunc(est.Evidence(), func(l Learned) bool { return math.Abs(l.Weight) < minWeight })
+	for i := range out {
+		out[i].Weight = round(out[i].Weight)
 	}
 	slices.SortFunc(out, func(a, b Learned) int {
 		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filling, b.Filling))
@@ -347,6 +345,16 @@
 	return out
 }
 
+// Evidence returns all evidence as of now, unrounded and in no order. An Estimator that
+// imports it has the same probabilities.
+func (est *Estimator) Evidence() []Learned {
+	var out []Learned
+	for p, e := range est.pairs {
+		out = append(out, Learned{p.serving, p.filling, e.weight * est.decay(e)})
+	}
+	return out
+}
+
 // round rounds to one decimal.
 func round(x float64) float64 { return math.Round(10*x) / 10 }
 
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -76,11 +76,11 @@
 // Queue is a route of the configuration: callers submit jobs to it by its host and
 // path prefix.
 type Queue struct {
-	Name    string
-	Host    string
-	Prefix  string
-	Timeout time.Duration // of a caller's request; 0: none
-	Policy  Policy
+	Name    string        `json:"name"`
+	Host    string        `json:"host"`
+	Prefix  string        `json:"prefix"`
+	Timeout time.Duration `json:"timeout,omitempty"` // of a caller's request; 0: none
+	Policy  Policy        `json:"policy"`
 }
 
 // Pool is a group of VMs that run the tasks of some queues.
