lead: bound the forecast of room on a rack

Cause: room for tasks that need nothing of a VM (a filling step without cpu and mem_mb, with a data_rack) was foreseen without end while the VMs of the rack have filling tasks beside short ones: the leader ran out of memory (over 3 GB) in its first plan with such a job, and so would each later leader, as the job is stored. Change: at most 256 tasks a VM. Result: TestTasksThatNeedNothingHaveABoundedForecast ends with out of memory at a limit of 6 GB before, and passes now.

--- a/internal/fleet/lead/locality.go
+++ b/internal/fleet/lead/locality.go
@@ -22,6 +22,9 @@
 	// coarse at its beginning.
 	minProgressTime = 100 * time.Millisecond
 	minProgress     = 10
+	// maxFrees bounds the tasks for which room is foreseen on one VM. Tasks that need little
+	// or nothing would fit in without end.
+	maxFrees = 256
 	// waitLogInterval is the minimum interval between log lines on waits in vain.
 	waitLogInterval = time.Second
 )
@@ -227,9 +230,10 @@
 			break
 		}
 		later := *vm // its maps and slices are only read
+		most := len(out.frees) + maxFrees
 		for _, end := range p.expectedEnds(nodes[i], now) {
 			later.Release(&end.task, end.busy)
-			for place.Fits(task, &later, p.estimator.DisturbanceProbability) {
+			for len(out.frees) < most && place.Fits(task, &later, p.estimator.DisturbanceProbability) {
 				out.frees = append(out.frees, end.in)
 				later.Reserved = place.ReservedWith(task, later.Reserved)
 				if task.Fills {
--- a/internal/fleet/lead/locality_test.go
+++ b/internal/fleet/lead/locality_test.go
@@ -203,3 +203,19 @@
 		require.Len(t, racks, want)
 	}
 }
+
+// Guards against a leader that runs out of memory, and each one after it, because a job
+// needs nothing of a VM: room for its tasks was foreseen without end.
+func TestTasksThatNeedNothingHaveABoundedForecast(t *testing.T) {
+	p := newLocalityPlay(4, 2, 2)
+	p.submit("filling", fleet.Step{Count: 2, Need: structs.Resources{MilliCPU: 8000, MemoryMB: 10}, Fills: true, Label: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now)
+	p.submit("short", fleet.Step{Count: 2, Need: structs.Resources{MilliCPU: 2000, MemoryMB: 10}, Label: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now) // the VMs of the rack have less than no CPU to spare
+	p.submit("nothing", fleet.Step{Count: 1, Fills: true, DataRack: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now)
+	var room forecast
+	for _, room = range p.plan.locality.frees {
+	}
+	require.Len(t, room.frees, 2*maxFrees)
+}
