lead: split what the planner knows of a step from its ledger

Cause: a job that is not in the ledger is to be explained with the planner's own filters, order and waits. Change: functions of specs and VMs alone (newTask, newItem, nearTerms, expectedChains, forecastRoom, rackWithRoom), used by the planner; one function says why a VM takes no tasks, so that the line on long waits also counts evacuated VMs. No decision changes.

--- a/internal/fleet/lead/locality.go
+++ b/internal/fleet/lead/locality.go
@@ -11,6 +11,7 @@
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/near"
 	"vanillalock.example/vanillalock/internal/fleet/place"
+	"vanillalock.example/vanillalock/internal/structs"
 )
 
 const (
@@ -80,11 +81,22 @@
 	frees []time.Duration
 }
 
-// expectedEnd is the expected end of a run.
+// wait returns how long a task is expected to wait for room behind others, and false if it
+// starts on another rack now.
+func (f forecast) wait(terms near.Task, ahead int, scarce bool) (time.Duration, bool) {
+	if f.now {
+		return 0, false
+	}
+	terms.Recheck = tickInterval
+	return near.Wait(terms, near.Rack{Frees: f.frees, Ahead: ahead, Scarce: scarce})
+}
+
+// expectedEnd is the expected end of a run, and what it frees.
 type expectedEnd struct {
-	in   time.Duration
-	task place.Task
-	busy int64
+	In    time.Duration     `json:"in"`
+	Need  structs.Resources `json:"need"`
+	Fills bool              `json:"fills,omitempty"`
+	Busy  int64             `json:"busy,omitempty"` // as in place.VM.Release
 }
 
 // newLocality returns the state for a ratio of run times; at most 1, no task waits.
@@ -134,10 +146,9 @@
 	wait, waited := l.waiting[t]
 	if !isNear {
 		terms.Waited = now.Sub(t.ReadySince)
-		terms.Recheck = tickInterval
 		key := rackKey{task.Pool, rack}
 		room := p.roomOnRack(task, vms, nodes, now)
-		if _, waits := near.Wait(terms, near.Rack{Frees: room.frees, Ahead: l.queued[key], Scarce: l.unplaced.HasPool(task.Pool)}); waits && !room.now {
+		if _, waits := room.wait(terms, l.queued[key], l.unplaced.HasPool(task.Pool)); waits {
 			l.queued[key]++
 			if !waited {
 				wait.since = now
@@ -169,37 +180,55 @@
 	if known, ok := l.terms[s]; ok {
 		return known
 	}
-	out := near.Task{Duration: p.expectedDuration(s), FarFactor: l.farFactor}
-	if policy := p.policy(s.Job); s.Job.Repeats == 0 {
-		all, rest := p.expectedChains(s)
+	job := s.Job
+	out := nearTerms(&job.Job, p.policy(job), s.Index, now.Sub(job.Accepted), l.farFactor, p.expectationOf(job.Queue))
+	l.terms[s] = out
+	return out
+}
+
+// nearTerms returns the description for package near of the tasks of a step of a job that
+// was accepted age ago.
+func nearTerms(job *fleet.Job, policy fleet.Policy, step int, age time.Duration, farFactor float64, expect expectation) near.Task {
+	out := near.Task{Duration: expect(&job.Steps[step]), FarFactor: farFactor}
+	if job.Repeats == 0 {
+		all, rest := expectedChains(job.Steps, step, expect)
 		objective := time.Duration(policy.Stretch*float64(all)) + policy.Objective
 		out.HasObjective = objective > 0
-		out.Slack = objective - now.Sub(s.Job.Accepted) - rest
+		out.Slack = objective - age - rest
 	}
-	l.terms[s] = out
 	return out
 }
 
+// expectation returns the expected run time of a task of a step at full speed, beside its
+// data.
+type expectation func(*fleet.Step) time.Duration
+
+// expectationOf returns the expectation for the steps of a queue's jobs.
+func (p *planner) expectationOf(queue string) expectation {
+	return func(s *fleet.Step) time.Duration {
+		return p.durations.Expect(durations.ClassOf(queue, s), s.Estimate)
+	}
+}
+
 // expectedDuration returns the expected run time of a task of a step at full speed,
 // beside its data.
 func (p *planner) expectedDuration(s *ledger.Step) time.Duration {
-	return p.durations.Expect(durations.ClassOf(s.Job.Queue, s.Spec), s.Spec.Estimate)
+	return p.expectationOf(s.Job.Queue)(s.Spec)
 }
 
-// expectedChains returns the expected time of the longest chain of dependent steps of the
-// job of a step, and of the longest one that begins with the step.
-func (p *planner) expectedChains(s *ledger.Step) (all, rest time.Duration) {
-	steps := s.Occurrence.Steps
+// expectedChains returns the expected time of the longest chain of dependent steps, and of
+// the longest one that begins with the step of the given index.
+func expectedChains(steps []fleet.Step, index int, expect expectation) (all, rest time.Duration) {
 	whole, after := make([]time.Duration, len(steps)), make([]time.Duration, len(steps))
-	for i, step := range steps {
-		d := p.expectedDuration(step)
-		for _, before := range step.Spec.After {
+	for i := range steps {
+		d := expect(&steps[i])
+		for _, before := range steps[i].After {
 			whole[i] = max(whole[i], whole[before])
 			if after[before] > 0 {
 				after[i] = max(after[i], after[before]+d)
 			}
 		}
-		if i == s.Index {
+		if i == index {
 			after[i] = d
 		}
 		whole[i] += d
@@ -220,21 +249,30 @@
 	if known, ok := p.locality.frees[key]; ok {
 		return known
 	}
+	ends := func(i int) []expectedEnd { return p.knownEnds(nodes[i], now) }
+	out := forecastRoom(task, vms, ends, p.estimator.DisturbanceProbability)
+	p.locality.frees[key] = out
+	return out
+}
+
+// forecastRoom returns when VMs on the rack with the data of a task are expected to have
+// room for such tasks. ends returns the expected ends of the runs of a VM by its index.
+func forecastRoom(task *place.Task, vms []*place.VM, ends func(int) []expectedEnd, interference place.Interference) forecast {
 	var out forecast
 	for i, vm := range vms {
 		if vm.Pool != task.Pool || !slices.Contains(vm.Labels, task.DataRack) {
 			continue
 		}
-		if place.Fits(task, vm, p.estimator.DisturbanceProbability) {
+		if place.Fits(task, vm, interference) {
 			out.now = true
 			break
 		}
 		later := *vm // its maps and slices are only read
 		most := len(out.frees) + maxFrees
-		for _, end := range p.expectedEnds(nodes[i], now) {
-			later.Release(&end.task, end.busy)
-			for len(out.frees) < most && place.Fits(task, &later, p.estimator.DisturbanceProbability) {
-				out.frees = append(out.frees, end.in)
+		for _, end := range ends(i) {
+			later.Release(&place.Task{Need: end.Need, Fills: end.Fills}, end.Busy)
+			for len(out.frees) < most && place.Fits(task, &later, interference) {
+				out.frees = append(out.frees, end.In)
 				later.Reserved = place.ReservedWith(task, later.Reserved)
 				if task.Fills {
 					later.Filling += task.Need.MilliCPU
@@ -243,29 +281,33 @@
 		}
 	}
 	slices.Sort(out.frees)
-	p.locality.frees[key] = out
 	return out
 }
 
+// knownEnds returns expectedEnds, computed once for a plan.
+func (p *planner) knownEnds(n *ledger.Node, now time.Time) []expectedEnd {
+	ends, ok := p.locality.ends[n]
+	if !ok {
+		ends = p.expectedEnds(n, now)
+		p.locality.ends[n] = ends
+	}
+	return ends
+}
+
 // expectedEnds returns the expected ends of the runs of a VM in the order of time, none if
 // it has runs of which the resources are unknown.
 func (p *planner) expectedEnds(n *ledger.Node, now time.Time) []expectedEnd {
-	if known, ok := p.locality.ends[n]; ok {
-		return known
-	}
 	var ends []expectedEnd
 	for _, r := range n.Runs {
 		if r.Task == nil {
-			ends = nil
-			break
+			return nil
 		}
 		s := r.Task.Step.Spec
 		if in, ok := p.expectedRest(r, now); ok {
-			ends = append(ends, expectedEnd{in, place.Task{Need: s.Need, Fills: s.Fills}, expectedUse(s)})
+			ends = append(ends, expectedEnd{in, s.Need, s.Fills, expectedUse(s)})
 		}
 	}
-	slices.SortFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.in, b.in) })
-	p.locality.ends[n] = ends
+	slices.SortFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.In, b.In) })
 	return ends
 }
 
@@ -335,8 +377,7 @@
 // or, before the first one, the rack with the most room among those where the whole step
 // fits. It returns "" if there is none.
 func (p *planner) sharedRack(r ledger.ReadyStep, vms []*place.VM, now time.Time) string {
-	s := r.Step.Spec
-	if p.locality.farFactor == 0 || !s.SameRack || s.Count < 2 || s.Lasting || s.DataRack != "" {
+	if !prefersOneRack(r.Step.Spec, p.locality.farFactor) {
 		return ""
 	}
 	rack, runs := "", false
@@ -354,14 +395,26 @@
 		return rack
 	}
 	task := p.describeTask(r.Tasks[0], now)
+	return rackWithRoom(&task, vms, r.Step.Left, p.estimator.DisturbanceProbability)
+}
+
+// prefersOneRack reports whether the tasks of a step go to one rack if it has room.
+func prefersOneRack(s *fleet.Step, farFactor float64) bool {
+	return farFactor > 0 && s.SameRack && s.Count >= 2 && !s.Lasting && s.DataRack == ""
+}
+
+// rackWithRoom returns the rack with the most room for tasks of a kind among those where n
+// of them fit, or "" if there is none.
+func rackWithRoom(task *place.Task, vms []*place.VM, n int, interference place.Interference) string {
 	room := map[string]int{}
 	for _, vm := range vms {
-		if name := rackOf(vm.Labels); name != "" && place.Fits(&task, vm, p.estimator.DisturbanceProbability) {
-			room[name] += tasksThatFit(&task, vm)
+		if name := rackOf(vm.Labels); name != "" && place.Fits(task, vm, interference) {
+			room[name] += tasksThatFit(task, vm)
 		}
 	}
-	for name, n := range room {
-		if n >= r.Step.Left && (rack == "" || n > room[rack] || n == room[rack] && name < rack) {
+	rack := ""
+	for name, fit := range room {
+		if fit >= n && (rack == "" || fit > room[rack] || fit == room[rack] && name < rack) {
 			rack = name
 		}
 	}
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -90,6 +90,11 @@
 	changes uint64
 }
 
+// describes reports whether the entry, which may be nil, is valid for a node.
+func (e *vmCacheEntry) describes(n *ledger.Node) bool {
+	return e != nil && e.node == n && e.changes == n.Changes()
+}
+
 // plan stops and moves tasks where needed, then starts the ready tasks that fit on
 // a VM.
 func (p *planner) plan(now time.Time) {
@@ -183,22 +188,30 @@
 func (p *planner) sortReady(ready []ledger.ReadyStep, now time.Time) {
 	items := make(map[*ledger.Step]queue.Item, len(ready))
 	for _, r := range ready {
-		job := r.Step.Job
-		policy := p.policy(job)
-		items[r.Step] = queue.Item{
-			Priority: policy.Priority, Lasting: r.Step.Spec.Lasting, Fills: r.Step.Spec.Fills,
-			Accepted: job.Accepted, Objective: objectiveOf(job, policy),
-			Remaining: chains(job.Steps)[r.Step.Index], WorkLeft: workLeft(r.Step.Occurrence),
-		}
+		items[r.Step] = p.itemOf(r.Step)
 	}
 	slices.SortStableFunc(ready, func(a, b ledger.ReadyStep) int {
 		return queue.Compare(items[a.Step], items[b.Step], now)
 	})
 }
 
+// itemOf describes a step of the ledger for the queue.
+func (p *planner) itemOf(s *ledger.Step) queue.Item {
+	return newItem(&s.Job.Job, p.policy(s.Job), s.Index, workLeft(s.Occurrence))
+}
+
+// newItem describes a step of a job for the queue.
+func newItem(job *fleet.Job, policy fleet.Policy, step int, workLeft float64) queue.Item {
+	s := &job.Steps[step]
+	return queue.Item{
+		Priority: policy.Priority, Lasting: s.Lasting, Fills: s.Fills, Accepted: job.Accepted,
+		Objective: objectiveOf(job, policy), Remaining: chains(job.Steps)[step], WorkLeft: workLeft,
+	}
+}
+
 // objectiveOf returns the time from its acceptance in which a job is expected to end,
 // with an allowance for estimates that are too short; 0: none is known.
-func objectiveOf(job *ledger.Job, policy fleet.Policy) time.Duration {
+func objectiveOf(job *fleet.Job, policy fleet.Policy) time.Duration {
 	const allowance = 1.5
 	if len(job.Steps) == 0 || job.Repeats > 0 {
 		return 0
@@ -311,24 +324,29 @@
 // describeTask describes a task of the ledger for placement.
 func (p *planner) describeTask(t *ledger.Task, now time.Time) place.Task {
 	s := t.Step.Spec
-	out := place.Task{
-		Key: stepKey(t.ID), Pool: p.policy(t.Step.Job).Pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
-		Label: s.Label, DataRack: s.DataRack, FarFactor: p.locality.farFactor, MaxPerVM: s.MaxPerVM,
-		Forced: (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter,
-	}
+	out := newTask(s, stepKey(t.ID), p.policy(t.Step.Job).Pool, p.locality.farFactor)
+	out.Forced = (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter
 	if t.EndedRun > 0 {
 		out.AvoidName = t.LastNode
 	}
 	return out
 }
 
+// newTask describes a task that has just become ready and never ran for placement.
+func newTask(s *fleet.Step, key place.StepKey, pool string, farFactor float64) place.Task {
+	return place.Task{
+		Key: key, Pool: pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
+		Label: s.Label, DataRack: s.DataRack, FarFactor: farFactor, MaxPerVM: s.MaxPerVM,
+	}
+}
+
 // eligibleVMs returns the VMs that may take tasks, those with recent lists that are
 // neither draining nor in an evacuated failure domain, and their nodes in the same order.
 func (p *planner) eligibleVMs(now time.Time) ([]*place.VM, []*ledger.Node) {
 	vms := make([]*place.VM, 0, len(p.ledger.Nodes))
 	nodes := make([]*ledger.Node, 0, len(p.ledger.Nodes))
 	for name, n := range p.ledger.Nodes {
-		if !n.MayStart() || now.Sub(n.ListedAt) > maxListAge || n.Executor.Draining || p.ledger.IsEvacuated(n) {
+		if p.ineligibility(n, now) != "" {
 			continue
 		}
 		vms = append(vms, p.cachedVM(name, n, now))
@@ -338,6 +356,30 @@
 	return vms, nodes
 }
 
+// Reasons why a VM takes no tasks whatever they need.
+const (
+	silentVM    = "silent" // no recent lists
+	drainingVM  = "draining"
+	heldVM      = "held" // its starts wait for a confirmation of the term
+	evacuatedVM = "evacuated"
+)
+
+// ineligibility returns why a VM takes no tasks, or "" if it may.
+func (p *planner) ineligibility(n *ledger.Node, now time.Time) string {
+	switch {
+	case !n.Listed || now.Sub(n.ListedAt) > maxListAge:
+		return silentVM
+	case n.Executor.Draining:
+		return drainingVM
+	case !n.MayStart():
+		return heldVM
+	case p.ledger.IsEvacuated(n):
+		return evacuatedVM
+	default:
+		return ""
+	}
+}
+
 // clearFillingOnly stops one lasting task on a VM that is kept for filling tasks if
 // it fits on another VM. The task is unavailable until it has started up there.
 func (p *planner) clearFillingOnly(vms []*place.VM, nodes []*ledger.Node, now time.Time) {
@@ -366,7 +408,7 @@
 // cachedVM returns the VM of a node, from the cache unless the node has changed.
 func (p *planner) cachedVM(name string, n *ledger.Node, now time.Time) *place.VM {
 	known := p.cache[name]
-	if known == nil || known.node != n || known.changes != n.Changes() {
+	if !known.describes(n) {
 		fillingOnly := known != nil && known.vm.FillingOnly
 		known = &vmCacheEntry{vm: p.describeVM(name, n, now), node: n, changes: n.Changes()}
 		known.vm.FillingOnly = fillingOnly
--- a/internal/fleet/lead/waiting.go
+++ b/internal/fleet/lead/waiting.go
@@ -76,28 +76,15 @@
 		}
 		task := p.describeTask(oldest, now)
 		e := place.Explain(&task, vms, p.estimator.DisturbanceProbability)
-		silent, draining, held := p.ineligibleVMs(now)
+		ineligible := map[string]int{}
+		for _, n := range p.ledger.Nodes {
+			ineligible[p.ineligibility(n, now)]++
+		}
 		w.log.Warn("Task waits for a VM.", "task", oldest.ID, "waits", waited.Round(time.Millisecond), "tasks", len(r.Tasks),
 			"lasting", r.Step.Spec.Lasting, "suspect", oldest.Suspect(), "budget", p.budget.open(now, r.Step.Spec.Lasting), "fits", e.Fits,
 			"pool", e.Pool, "closed", e.Closed, "trouble", e.Trouble, "label", e.Label, "per_vm", e.PerVM, "cpu", e.CPU, "memory", e.Memory,
-			"interference", e.Interference, "other", e.Other, "silent", silent, "draining", draining, "held", held)
-	}
-}
-
-// ineligibleVMs counts the VMs that eligibleVMs leaves out: those without recent lists,
-// those that drain, and those whose starts are held.
-func (p *planner) ineligibleVMs(now time.Time) (silent, draining, held int) {
-	for _, n := range p.ledger.Nodes {
-		switch {
-		case !n.Listed || now.Sub(n.ListedAt) > maxListAge:
-			silent++
-		case n.Executor.Draining:
-			draining++
-		case !n.MayStart():
-			held++
-		}
+			"interference", e.Interference, "other", e.Other, "silent", ineligible[silentVM], "draining", ineligible[drainingVM], "held", ineligible[heldVM], "evacuated", ineligible[evacuatedVM])
 	}
-	return silent, draining, held
 }
 
 // reportOrders logs the runs that have been starting or stopping for long.
