link: share the exchange of a request and its reply

Cause: a command is to ask an entry as entries ask each other. Change: link.Exchange, which peers.ask uses; it still counts only the wait for the reply as silence.

--- a/internal/fleet/lead/peers.go
+++ b/internal/fleet/lead/peers.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -120,32 +119,16 @@
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.Open()
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(&pb.Frame{Body: &pb.Frame_FleetAsk{FleetAsk: q}}); err != nil {
-		return nil, err
-	}
 	timeout := askTimeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = max(time.Millisecond, min(timeout, time.Until(deadline)))
 	}
-	began := time.Now()
-	frame, err := stream.Receive(timeout)
-	if err != nil {
-		if time.Since(began) >= deadSilence {
-			// The connection may be dead without an error: the next request opens another.
-			_ = session.Close()
-		}
-		return nil, err
-	}
-	reply := frame.GetFleetReply()
-	if reply == nil {
-		return nil, errors.New("another frame instead of a reply")
+	reply, waited, err := link.Exchange(session, q, timeout)
+	if err != nil && waited >= deadSilence {
+		// The connection may be dead without an error: the next request opens another.
+		_ = session.Close()
 	}
-	return reply, nil
+	return reply, err
 }
 
 // maintainPeers keeps this entry's address in the store, and reads those of the others
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,7 +15,7 @@
 )
 
 // Kinds of FleetAsk messages, which an entry sends to the leader, except that
-// AskStore and AskLeading go to any other entry.
+// AskStore, AskLeading and AskExplain go to any entry.
 const (
 	AskAccepted  uint32 = iota + 1 // notice: an accepted job is in the store
 	AskState                       // question: the state of a job
@@ -23,6 +24,7 @@
 	AskStore                       // request: a call to the store, in the field job, for an entry that can't reach it
 	AskLeading                     // question to any entry: whether it leads
 	AskFit                         // question: whether a VM can run tasks that need what the field job states
+	AskExplain                     // question to any entry, which passes it on: where the job in the field job would go
 )
 
 // NodeRecord is the record of an agent in the store.
@@ -207,3 +209,27 @@
 	}
 	return r, nil
 }
+
+// Exchange sends a request to an entry in a stream of its own and returns the reply, and
+// for how long it has waited for it. The error matches io.EOF if the entry has ended the
+// stream without a reply, as it does for kinds that it does not know.
+func Exchange(session *wire.Session, q *pb.FleetAsk, timeout time.Duration) (reply *pb.FleetReply, waited time.Duration, err error) {
+	stream, err := session.Open()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(&pb.Frame{Body: &pb.Frame_FleetAsk{FleetAsk: q}}); err != nil {
+		return nil, 0, err
+	}
+	began := time.Now()
+	frame, err := stream.Receive(timeout)
+	waited = time.Since(began)
+	if err != nil {
+		return nil, waited, err
+	}
+	if reply = frame.GetFleetReply(); reply == nil {
+		return nil, waited, errors.New("another frame instead of a reply")
+	}
+	return reply, waited, nil
+}
