lead: explain where a job would go

Change: AskExplain, which any entry passes on to the leader. The leader copies the planner's state in its event loop, without changing anything, and Explain makes the explanation from that copy, outside of the loop, with the planner's own filters, scores, order and waits. The state is JSON, so that it can be recorded. Bounds: three questions a second at each entry, 64 KB a question, 256 KB an answer; a panic ends neither the term nor the entry.

--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
@@ -46,6 +48,7 @@
 	peers   peers
 	fits    fits
 	relayed *semaphore.Weighted                                                               // calls for other entries that are under way
+	explain *rate.Limiter                                                                     // answers to AskExplain
 	askPeer func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
 
 	mu     sync.Mutex
@@ -59,6 +62,7 @@
 	e.opts.Config = e.Config
 	e.askPeer = e.peers.ask
 	e.relayed = semaphore.NewWeighted(maxRelayedCalls)
+	e.explain = rate.NewLimiter(explainRate, explainRate)
 	e.store = &relayStore{Store: o.Store, relay: e.relayCall}
 	e.opts.Store = e.store
 	return e
@@ -169,7 +173,11 @@
 	if err != nil || frame.GetFleetAsk() == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout := askTimeout
+	if frame.GetFleetAsk().GetKind() == link.AskExplain {
+		timeout = explainTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if frame.GetFleetAsk().GetKind() == link.AskStore {
 		if !e.relayed.TryAcquire(1) {
@@ -195,6 +203,8 @@
 		return e.serveStore(ctx, q)
 	case link.AskLeading:
 		return e.answerLeading()
+	case link.AskExplain:
+		return e.answerExplain(ctx, q), nil
 	}
 	leader := e.localLeader.Load()
 	if leader == nil {
@@ -217,13 +227,8 @@
 }
 
 func (e *Entry) submit(ctx context.Context, job fleet.Job) fleet.Answer {
-	for _, s := range job.Steps {
-		if s.Gang {
-			return fleet.Answer{Result: fleet.ResultUnsupported, Cause: "gangs are not supported yet"}
-		}
-	}
-	if job.Policy.Advised {
-		return fleet.Answer{Result: fleet.ResultUnsupported, Cause: "queues with advice are not supported yet"}
+	if cause := unsupported(&job); cause != "" {
+		return fleet.Answer{Result: fleet.ResultUnsupported, Cause: cause}
 	}
 	if e.store.isDown() {
 		// Refuse at once: a store call without an answer would make the result unknown.
@@ -260,6 +265,17 @@
 	}
 }
 
+// unsupported returns what a job needs that is not built, or "".
+func unsupported(job *fleet.Job) string {
+	if slices.ContainsFunc(job.Steps, func(s fleet.Step) bool { return s.Gang }) {
+		return "gangs are not supported yet"
+	}
+	if job.Policy.Advised {
+		return "queues with advice are not supported yet"
+	}
+	return ""
+}
+
 // retryAfter returns the retry delay for a caller that is refused now.
 func (e *Entry) retryAfter() time.Duration { return retryAfter(e.store.outage(), rand.Float64()) }
 
--- a/internal/fleet/lead/evacuation.go
+++ b/internal/fleet/lead/evacuation.go
@@ -186,10 +186,15 @@
 	if l.opts.EvacuationPrefix == "" {
 		return true
 	}
-	age := l.elapsed(l.evacuations.asOf, l.evacuations.offset, now)
+	age := l.evacuationAge(now)
 	if unknown := age > maxEvacuationAge; unknown != l.evacuations.unknown {
 		l.evacuations.unknown = unknown
 		l.opts.Log.Warn("Starts wait until the evacuations are known.", "waiting", unknown, "age", age.Round(time.Millisecond), "term", l.term)
 	}
 	return !l.evacuations.unknown
 }
+
+// evacuationAge returns the age of the last answer for the evacuations.
+func (l *Leader) evacuationAge(now time.Time) time.Duration {
+	return l.elapsed(l.evacuations.asOf, l.evacuations.offset, now)
+}
--- a/internal/fleet/lead/fit.go
+++ b/internal/fleet/lead/fit.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -63,22 +64,49 @@
 // fit returns the largest VM that can run tasks with a need once it is free. VMs that
 // drain, are evacuated or have left lately count.
 func (l *Leader) fit(need link.Need, now time.Time) link.Fit {
-	fit := link.Fit{Known: now.Sub(l.began) > fitSettling}
-	consider := func(e fleet.Executor) {
-		fits := e.Pool == need.Pool && need.Need.Fits(e.Capacity) && (need.Label == "" || slices.Contains(e.Labels, need.Label))
-		if fits && (fit.Capacity == nil || fit.Capacity.Fits(e.Capacity)) {
-			fit.Capacity = &e.Capacity
+	return largestFit(need, func(yield func(vmKind) bool) {
+		for _, n := range l.ledger.Nodes {
+			if !yield(newVMKind(n.Executor)) {
+				return
+			}
+		}
+		l.departedKinds(now)(yield)
+	}, now.Sub(l.began) > fitSettling)
+}
+
+// departedKinds returns the VMs that have left lately.
+func (l *Leader) departedKinds(now time.Time) iter.Seq[vmKind] {
+	return func(yield func(vmKind) bool) {
+		for _, d := range l.departed {
+			if now.Sub(d.at) <= departedKept && !yield(newVMKind(d.executor)) {
+				return
+			}
 		}
 	}
-	for _, n := range l.ledger.Nodes {
-		consider(n.Executor)
-		fit.Known = fit.Known && n.Executor.Instance != ""
-	}
-	for _, d := range l.departed {
-		if now.Sub(d.at) <= departedKept {
-			consider(d.executor)
-			fit.Known = fit.Known && d.executor.Instance != ""
+}
+
+// vmKind is what decides whether a VM can run a task once it is free.
+type vmKind struct {
+	Pool     string            `json:"pool"`
+	Labels   []string          `json:"labels,omitempty"`
+	Capacity structs.Resources `json:"capacity"`
+	Known    bool              `json:"known"` // its executor is known
+}
+
+func newVMKind(e fleet.Executor) vmKind {
+	return vmKind{e.Pool, e.Labels, e.Capacity, e.Instance != ""}
+}
+
+// largestFit returns the largest of some VMs that can run tasks with a need. settled
+// reports that there are no others.
+func largestFit(need link.Need, vms iter.Seq[vmKind], settled bool) link.Fit {
+	fit := link.Fit{Known: settled}
+	for vm := range vms {
+		fits := vm.Pool == need.Pool && need.Need.Fits(vm.Capacity) && (need.Label == "" || slices.Contains(vm.Labels, need.Label))
+		if fits && (fit.Capacity == nil || fit.Capacity.Fits(vm.Capacity)) {
+			fit.Capacity = &vm.Capacity
 		}
+		fit.Known = fit.Known && vm.Known
 	}
 	return fit
 }
@@ -114,11 +142,8 @@
 // misfit returns why no VM can run a step of a job, or "" if each step fits on one or the
 // leader does not know.
 func (e *Entry) misfit(ctx context.Context, job fleet.Job) string {
-	for i, s := range job.Steps {
-		need := link.Need{Pool: job.Policy.Pool, Label: s.Label, Need: s.Need}
-		if s.Fills { // as in place.ReservedWith
-			need.Need.MilliCPU = 0
-		}
+	for i := range job.Steps {
+		need := needOf(&job.Steps[i], job.Policy.Pool)
 		if e.fits.has(need) {
 			continue
 		}
@@ -129,12 +154,26 @@
 		case fit.Capacity != nil:
 			e.fits.add(need, *fit.Capacity)
 		case fit.Known:
-			return fmt.Sprintf("no VM of pool %q can run a task of step %d: it needs %+v and label %q", need.Pool, i, need.Need, need.Label)
+			return misfitCause(need, i)
 		}
 	}
 	return ""
 }
 
+// needOf returns what a VM must have to run the tasks of a step.
+func needOf(s *fleet.Step, pool string) link.Need {
+	need := link.Need{Pool: pool, Label: s.Label, Need: s.Need}
+	if s.Fills { // as in place.ReservedWith
+		need.Need.MilliCPU = 0
+	}
+	return need
+}
+
+// misfitCause says that no VM can run the tasks of a step.
+func misfitCause(need link.Need, step int) string {
+	return fmt.Sprintf("no VM of pool %q can run a task of step %d: it needs %+v and label %q", need.Pool, step, need.Need, need.Label)
+}
+
 // askFit asks the leader whether a VM can run tasks with a need.
 func (e *Entry) askFit(ctx context.Context, need link.Need) (link.Fit, error) {
 	ctx, cancel := context.WithTimeout(ctx, fitTimeout)
--- a/internal/fleet/lead/locality_test.go
+++ b/internal/fleet/lead/locality_test.go
@@ -45,6 +45,12 @@
 
 // tick moves the play on by 20 ms, reports the runs of all VMs and plans.
 func (p *localityPlay) tick() {
+	p.report()
+	p.plan.plan(p.now)
+}
+
+// report moves the play on by 20 ms and reports the runs of all VMs.
+func (p *localityPlay) report() {
 	p.now = p.now.Add(20 * time.Millisecond)
 	for _, n := range p.ledger.Nodes {
 		report := ledger.Report{Executor: &n.Executor, Listed: true}
@@ -63,7 +69,6 @@
 		n.TakeOrders()
 		p.ledger.Report(n, report, p.now)
 	}
-	p.plan.plan(p.now)
 }
 
 // playHotRack submits jobs of one or two steps of 10 tasks for 6 s. Of these jobs 60% name
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -239,11 +239,17 @@
 // workLeft returns the share of the estimated work of an occurrence that is left, in
 // core-seconds, or 1 if there are no estimates.
 func workLeft(o *ledger.Occurrence) float64 {
+	return workShare(o.Steps[0].Job.Steps, func(i int) int { return o.Steps[i].Left })
+}
+
+// workShare returns the share of the estimated work of some steps that is left, by the
+// number of tasks that are left of each step.
+func workShare(steps []fleet.Step, tasksLeft func(step int) int) float64 {
 	left, all := 0.0, 0.0
-	for _, s := range o.Steps {
-		each := float64(s.Spec.Need.MilliCPU) * s.Spec.Estimate.Seconds()
-		left += each * float64(s.Left)
-		all += each * float64(s.Spec.Count)
+	for i := range steps {
+		each := float64(steps[i].Need.MilliCPU) * steps[i].Estimate.Seconds()
+		left += each * float64(tasksLeft(i))
+		all += each * float64(steps[i].Count)
 	}
 	if all == 0 {
 		return 1
--- a/internal/fleet/place/explain.go
+++ b/internal/fleet/place/explain.go
@@ -41,14 +41,35 @@
 // Best returns the n VMs with the best scores for a task, best first and those with equal
 // scores by name. It changes no VM.
 func Best(t *Task, vms []*VM, n int, interference Interference) []Candidate {
-	var out []Candidate
+	compare := func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.Score.Total(), a.Score.Total()), cmp.Compare(vms[a.VM].Name, vms[b.VM].Name))
+	}
+	out := make([]Candidate, 0, n+1)
 	for i, vm := range vms {
-		if Fits(t, vm, interference) {
-			out = append(out, Candidate{i, score(t, vm, interference)})
+		if !Fits(t, vm, interference) {
+			continue
+		}
+		c := Candidate{i, score(t, vm, interference)}
+		if len(out) == n && compare(out[n-1], c) <= 0 {
+			continue
 		}
+		at, _ := slices.BinarySearchFunc(out, c, compare)
+		out = slices.Insert(out, at, c)
+		out = out[:min(n, len(out))]
+	}
+	return out
+}
+
+// Part is a named part of a score.
+type Part struct {
+	Name  string
+	Cores float64
+}
+
+// Parts returns all parts in the order of the sum.
+func (s Score) Parts() []Part {
+	return []Part{
+		{"trouble", s.Trouble}, {"far", s.Far}, {"avoid", s.Avoid}, {"isolation", s.Isolation}, {"no serving", s.NoServing},
+		{"filling only", s.FillingOnly}, {"excluded", s.Excluded}, {"room", s.Room}, {"harm", s.Harm}, {"spread", s.Spread}, {"images", s.Images},
 	}
-	slices.SortFunc(out, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(b.Score.Total(), a.Score.Total()), cmp.Compare(vms[a.VM].Name, vms[b.VM].Name))
-	})
-	return out[:min(n, len(out))]
 }
--- a/internal/fleet/place/ranking.go
+++ b/internal/fleet/place/ranking.go
@@ -1,6 +1,10 @@
 package place
 
-import "container/heap"
+import (
+	"container/heap"
+	"maps"
+	"slices"
+)
 
 // Ranking orders the VMs for the equal tasks of a step, best score first. It scores
 // each VM once, and a VM again only after it has taken a task, so that a step of
@@ -130,6 +134,15 @@
 	return false
 }
 
+// Pools returns the pools of the tasks.
+func (f Failed) Pools() []string {
+	pools := map[string]struct{}{}
+	for k := range f {
+		pools[k.pool] = struct{}{}
+	}
+	return slices.Sorted(maps.Keys(pools))
+}
+
 // Add records that a task fits on no VM. A limit per VM may be the reason, which
 // says nothing of other tasks.
 func (f Failed) Add(t *Task) {
