command: vanillalock explain

Change: the command asks an entry or reads a recorded state, and prints text or JSON; fleet-entry logs the address of its sessions.

--- a/internal/command/clients.go
+++ b/internal/command/clients.go
@@ -62,31 +62,40 @@
 // readObject decodes the JSON value in a file, or in standard input for "-".
 // Unknown fields and trailing data are errors.
 func readObject(s *invocation, path string, into any) error {
+	data, err := readInput(s, path)
+	if err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return usageError{fmt.Errorf("decoding %s: %w", path, err)}
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return usageError{fmt.Errorf("%s has data after the JSON value", path)}
+	}
+	return nil
+}
+
+// readInput reads a file, or standard input for "-", of at most maxFileBytes.
+func readInput(s *invocation, path string) ([]byte, error) {
 	in := s.in
 	if path != "-" {
 		f, err := os.Open(path)
 		if err != nil {
-			return usageError{err}
+			return nil, usageError{err}
 		}
 		defer f.Close()
 		in = f
 	}
 	data, err := io.ReadAll(io.LimitReader(in, maxFileBytes+1))
 	if err != nil {
-		return usageError{fmt.Errorf("reading %s: %w", path, err)}
+		return nil, usageError{fmt.Errorf("reading %s: %w", path, err)}
 	}
 	if len(data) > maxFileBytes {
-		return usageError{fmt.Errorf("%s exceeds %d bytes", path, maxFileBytes)}
+		return nil, usageError{fmt.Errorf("%s exceeds %d bytes", path, maxFileBytes)}
 	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		return usageError{fmt.Errorf("decoding %s: %w", path, err)}
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return usageError{fmt.Errorf("%s has data after the JSON value", path)}
-	}
-	return nil
+	return data, nil
 }
 
 type requestCmd struct {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -150,6 +150,9 @@
 	if r.Bench != nil {
 		add("bench", "Measure policies beside their baselines.", &benchCmd{run: r.Bench})
 	}
+	if r.Explain != nil {
+		add("explain", "Explain where a job of a fleet would go now, without sending it.", &explainCmd{run: r.Explain})
+	}
 	if r.Report != nil {
 		add("report", "Render results as text and HTML.", &reportCmd{run: r.Report})
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -41,6 +42,10 @@
 		Load:            func(context.Context, LoadOptions, Streams) error { return nil },
 		Demo:            func(context.Context, DemoOptions, Streams) error { return nil },
 		Bench:           func(context.Context, BenchOptions, Streams) error { return nil },
+		Explain: func(_ context.Context, o ExplainOptions, s Streams) error {
+			_, err := fmt.Fprintf(s.Out, "%s%s %s %s%s %s", o.Entry, o.State, o.Queue, o.Host, o.Path, o.Job)
+			return err
+		},
 		Report: func(_ context.Context, o ReportOptions, s Streams) error {
 			_, err := s.Out.Write([]byte(strings.Join(o.Result, ",")))
 			return err
@@ -65,7 +70,7 @@
 		}
 		return next(nil)
 	}))
-	assert.Equal(t, 26, leaves)
+	assert.Equal(t, 27, leaves)
 	code, _, errOut := run(Runners{}, "", "demo")
 	assert.Equal(t, ExitUsage, code)
 	assert.Contains(t, errOut, "unexpected argument demo")
@@ -81,6 +86,21 @@
 	assert.Equal(t, "e1", out)
 	_, out, _ = run(allRunners(), "", "report", "a.json", "b.json")
 	assert.Equal(t, "a.json,b.json", out)
+	_, out, errOut = run(allRunners(), `{"steps":[]}`, "explain", "-", "--entry", "a:1", "--queue", "q")
+	assert.Equal(t, `a:1 q  {"steps":[]}`, out, errOut)
+	_, out, errOut = run(allRunners(), "{}", "explain", "-", "--state", "s.json", "--host", "h", "--path", "/p/")
+	assert.Equal(t, "s.json  h/p/ {}", out, errOut)
+	for want, args := range map[string][]string{
+		"--entry":            {"-", "--queue", "q"},
+		"can't be used":      {"-", "--queue", "q", "--entry", "a:1", "--state", "s"},
+		"--queue, or --host": {"-", "--entry", "a:1", "--host", "h"},
+		"a job or --record":  {"--entry", "a:1"},
+		"needs --entry":      {"--state", "s", "--record", "r"},
+	} {
+		code, _, errOut = run(allRunners(), "{}", append([]string{"explain"}, args...)...)
+		assert.Equal(t, ExitUsage, code)
+		assert.Contains(t, errOut, want)
+	}
 	code, _, errOut = run(allRunners(), "", "config", "check", path, "--role", "agent")
 	assert.Equal(t, ExitUsage, code)
 	assert.Contains(t, errOut, "line 1: id: unknown key")
--- a/internal/command/roles.go
+++ b/internal/command/roles.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"errors"
+
 	"github.com/alecthomas/kong"
 
 	"vanillalock.example/vanillalock/internal/settings"
@@ -168,3 +170,33 @@
 
 // Run renders the report.
 func (c *reportCmd) Run(s *invocation) error { return c.run(s.ctx, c.ReportOptions, s.streams) }
+
+type explainCmd struct {
+	ExplainOptions
+	File string `arg:"" optional:"" help:"Job in the JSON format of callers, or - for standard input." placeholder:"JOB"`
+	run  Runner[ExplainOptions]
+}
+
+// Help implements kong.HelpProvider.
+func (*explainCmd) Help() string {
+	return "Example: vanillalock explain job.json --entry 10.0.1.4:7720 --queue batch"
+}
+
+// Run reads the job and explains it.
+func (c *explainCmd) Run(s *invocation) error {
+	switch {
+	case c.File == "" && c.Record == "":
+		return usageError{errors.New("a job or --record is required")}
+	case c.Record != "" && c.State != "":
+		return usageError{errors.New("--record needs --entry")}
+	case c.File != "" && c.Queue == "" && (c.Host == "" || c.Path == ""):
+		return usageError{errors.New("--queue, or --host and --path, are required")}
+	}
+	if c.File != "" {
+		var err error
+		if c.Job, err = readInput(s, c.File); err != nil {
+			return err
+		}
+	}
+	return c.run(s.ctx, c.ExplainOptions, s.streams)
+}
--- a/internal/command/runners.go
+++ b/internal/command/runners.go
@@ -39,6 +39,7 @@
 	Demo            Runner[DemoOptions]
 	Bench           Runner[BenchOptions]
 	Report          Runner[ReportOptions]
+	Explain         Runner[ExplainOptions]
 }
 
 // EntryOptions are the options of "entry".
@@ -118,3 +119,17 @@
 	Result []string `arg:"" help:"One JSON result, or two to compare." placeholder:"FILE"`
 	HTML   string   `name:"html" help:"File for the HTML page." placeholder:"FILE"`
 }
+
+// ExplainOptions are the options of "explain".
+type ExplainOptions struct {
+	Entry  string        `xor:"from" required:"" help:"Address of the sessions of an entry of a fleet, host:port." placeholder:"ADDRESS"`
+	State  string        `xor:"from" required:"" help:"File with a recorded state instead of an entry." placeholder:"FILE"`
+	Queue  string        `xor:"queue" help:"Name of the job's queue."`
+	Host   string        `xor:"queue" help:"Host of the job's queue, with --path."`
+	Path   string        `help:"Path prefix of the job's queue, with --host."`
+	Record string        `help:"Write the state of the leader to this file; the job may be left out." placeholder:"FILE"`
+	Output string        `default:"text" enum:"text,json" help:"Output format: text or json."`
+	Wait   time.Duration `default:"10s" help:"Time limit of the call."`
+	// Job is the job in the callers' JSON format; empty: none is given.
+	Job []byte `kong:"-"`
+}
--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -60,17 +60,18 @@
 		return err
 	}
 	var entry *lead.Entry
+	var sessions net.Listener
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
 		fx.Provide(newFleetStore, newSessionListener, newFleetEntry),
-		fx.Populate(&entry),
+		fx.Populate(&entry, &sessions),
 	)
 	if err := app.Err(); err != nil {
 		return err
 	}
 	logger := obs.Logger("entry")
-	logger.Info("Starting.", "vm", s.Node, "address", s.Frontend)
+	logger.Info("Starting.", "vm", s.Node, "address", s.Frontend, "sessions", sessions.Addr())
 	reloadOnHangup(ctx, s, logger)
 	serveMetrics(s, logger)
 	return serveFleetEntry(ctx, s, entry, logger)
--- a/internal/roles/tools.go
+++ b/internal/roles/tools.go
@@ -28,7 +28,7 @@
 	return command.Runners{
 		Entry: RunEntry, Agent: RunAgent, FleetEntry: RunFleetEntry, FleetAgent: RunFleetAgent,
 		StandinKV: runStandinKV, StandinWorker: runStandinWorker, StandinUpstream: runStandinUpstream,
-		Load: runLoad, Demo: runDemo, Bench: runBench, Report: runReport,
+		Load: runLoad, Demo: runDemo, Bench: runBench, Report: runReport, Explain: runExplain,
 	}
 }
 
