--- a/internal/fleet/lead/locality_test.go
+++ b/internal/fleet/lead/locality_test.go
@@ -45,6 +45,12 @@
 
 // tick moves the play on by 20 ms, reports the runs of all VMs and plans.
 func (p *localityPlay) tick() {
+	p.report()
+	p.plan.plan(p.now)
+}
+
+// report moves the play on by 20 ms and reports the runs of all VMs.
+func (p *localityPlay) report() {
 	p.now = p.now.Add(20 * time.Millisecond)
 	for _, n := range p.ledger.Nodes {
 		report := ledger.Report{Executor: &n.Executor, Listed: true}
@@ -63,7 +69,6 @@
 		n.TakeOrders()
 		p.ledger.Report(n, report, p.now)
 	}
-	p.plan.plan(p.now)
 }
 
 // playHotRack submits jobs of one or two steps of 10 tasks for 6 s. Of these jobs 60% name
@@ -203,3 +208,19 @@
 		require.Len(t, racks, want)
 	}
 }
+
+// Guards against a leader that runs out of memory, and each one after it, because a job
+// needs nothing of a VM: room for its tasks was foreseen without end.
+func TestTasksThatNeedNothingHaveABoundedForecast(t *testing.T) {
+	p := newLocalityPlay(4, 2, 2)
+	p.submit("filling", fleet.Step{Count: 2, Need: structs.Resources{MilliCPU: 8000, MemoryMB: 10}, Fills: true, Label: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now)
+	p.submit("short", fleet.Step{Count: 2, Need: structs.Resources{MilliCPU: 2000, MemoryMB: 10}, Label: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now) // the VMs of the rack have less than no CPU to spare
+	p.submit("nothing", fleet.Step{Count: 1, Fills: true, DataRack: "rack-0", Estimate: time.Second})
+	p.plan.plan(p.now)
+	var room forecast
+	for _, room = range p.plan.locality.frees {
+	}
+	require.Len(t, room.frees, 2*maxFrees)
+}
--- a/internal/roles/fleet.go
+++ b/internal/roles/fleet.go
@@ -64,17 +64,18 @@
 	}
 	var entry *lead.Entry
 	var guard *ingress.Guard
+	var sessions net.Listener
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s),
 		fx.Provide(newFleetStore, newGuard, newSessionListener, newFleetEntry),
-		fx.Populate(&entry, &guard),
+		fx.Populate(&entry, &guard, &sessions),
 	)
 	if err := app.Err(); err != nil {
 		return err
 	}
 	logger := obs.Logger("entry")
-	logger.Info("Starting.", "vm", s.Node, "address", s.Frontend)
+	logger.Info("Starting.", "vm", s.Node, "address", s.Frontend, "sessions", sessions.Addr())
 	reloadOnHangup(ctx, s, logger)
 	serveMetrics(s, guard, logger)
 	return serveFleetEntry(ctx, s, entry, guard, logger)
