ledger: a repeated start is not absent by what held for an earlier order

What callers would see: two runs of a task at the same time (TWICE). An order that ends by its deadline is reported as revoked, after which two complete lists prove its run absent. If the session ended before these came, and the first lists of the next one were partial (500 ends wait for the store), the start was ordered again, with a later deadline, and the next complete lists closed the run while that call was on its way. Before a revoked run had been stopped on the executor, so no repeat could start it.

Change: a repeated start needs an answer of its own, for the proof by lists and for that by the next instance.

TestRepeatedStartIsNotAbsentByAnEarlierOrder failed before (the run was closed, "the repeated start has no answer").

--- a/internal/fleet/ledger/partial_test.go
+++ b/internal/fleet/ledger/partial_test.go
@@ -52,3 +52,32 @@
 	require.Empty(t, w.ready())
 	require.Equal(t, Done, w.ledger.Jobs["job"].Final)
 }
+
+// Guards against two runs of a task: a start that has ended without effect is ordered
+// again in the next session, before complete lists have shown that it is absent, and lists
+// from before the repeated order took effect count for both.
+func TestRepeatedStartIsNotAbsentByAnEarlierOrder(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one())
+	w.start("a")
+	w.node("a").TakeOrders()
+	id := taskOf("job")
+	e := w.node("a").Executor
+	// Its deadline has passed, which is no proof against a call with a later one.
+	w.ledger.Report(w.node("a"), Report{Executor: &e, Listed: true, Partial: true, Results: []Result{{Task: id, Run: 1, Result: fleet.OrderRevoked}}}, w.now)
+	w.ledger.Disconnected(w.node("a"))
+	w.listPartly("a")
+	orders, _ := w.node("a").TakeOrders()
+	require.Len(t, orders.Starts, 1, "the start is repeated")
+	for range 2 * absenceListings {
+		w.list("a", nil)
+	}
+	require.NotNil(t, w.node("a").Runs[id], "the repeated start has no answer")
+	w.ledger.Report(w.node("a"), Report{Executor: &e, Results: []Result{{Task: id, Run: 1, Result: fleet.OrderOld}}}, w.now)
+	for range absenceListings {
+		w.list("a", nil)
+	}
+	w.now = w.now.Add(retryDelay)
+	require.Equal(t, []fleet.TaskID{id}, w.ready())
+}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -259,6 +259,8 @@
 		l.deferStart(r)
 	case r.State == Starting && r.Task != nil:
 		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
+		// An earlier order may have ended by its deadline, which does not hold for this one.
+		r.absentFrom, r.startAnswered = 0, false
 		r.repeated, r.timed = true, false
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
