--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -18,7 +18,8 @@
 // The model of several leaders plays the rules of packages lead and side by which terms are
 // confirmed, leases granted and runs reported, with leaders that are cut off from the store,
 // agents and executors that are started anew, reports and orders that stay on their way, and
-// calls that an executor carries out late. Clocks run at the same rate.
+// calls that an executor carries out late. Executors answer no orders, or no calls at all, for
+// a while. The clocks of some are as slow as fleet.ClockRate; all others run at one rate.
 
 // Times as in packages lead and side.
 const (
@@ -46,6 +47,18 @@
 	faultCallReachesNext     = false // calls were carried out by the next instance under the ID
 )
 
+// Faults of the rules on deadlines, to be switched on by hand.
+const (
+	faultOrderEndsEarly  = false // an order without an answer ends before its deadline
+	faultLastCallOnly    = false // earlier calls of a start with a later deadline do not count
+	faultLateByTheLease  = false // executors judge a late call by their lease instead of its own deadline
+	faultGrantNotCounted = false // the leader does not count its last grant
+)
+
+// modelExpired counts the orders that have ended by their deadline in all explorations, and
+// modelCounted the runs that were closed by the leader's count during a session.
+var modelExpired, modelCounted int
+
 var traceTerms = flag.Bool("model-trace", false, "print the events of a model that fails")
 
 func (m *termsModel) tracef(format string, args ...any) {
@@ -103,7 +116,9 @@
 	born       time.Time // start of the known instance
 	term       int
 	session    *termsSession
-	unanswered map[RunRef]bool
+	unanswered map[RunRef]time.Duration // with the last deadline of a call
+	reading    time.Duration            // of the clock of the executor, at readAt
+	readAt     time.Time
 	deadline   time.Duration
 	longest    time.Duration // no lease ends later
 	life       int           // reports of earlier lives are answered by no lease
@@ -127,7 +142,7 @@
 func newTermsModel(t *rapid.T, vms int) *termsModel {
 	m := &termsModel{modelVMs: newModelVMs(t, vms), stored: map[string][]byte{}, jobs: []fleet.Job{modelJob("job")}}
 	for _, x := range m.executors {
-		m.agents = append(m.agents, &termsAgent{x: x, unanswered: map[RunRef]bool{}})
+		m.agents = append(m.agents, &termsAgent{x: x, unanswered: map[RunRef]time.Duration{}})
 	}
 	m.elect(termsLongest(termsGrantGrace))
 	return m
@@ -141,6 +156,9 @@
 	}
 	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
 		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
+		if s := l.sessions[e.Node]; e.Reason == leaseCounted.String() && s != nil && !s.left {
+			modelCounted++
+		}
 	}})
 	m.tracef("term %d begins", l.term)
 	for _, x := range m.executors {
@@ -285,7 +303,7 @@
 	}
 	a.cancelOrders()
 	m.tracef("agent of %s starts anew", a.x.name)
-	*a = termsAgent{x: a.x, unanswered: map[RunRef]bool{}, life: a.life + 1}
+	*a = termsAgent{x: a.x, unanswered: map[RunRef]time.Duration{}, life: a.life + 1}
 }
 
 // adopt confirms the announced instance and makes it the known one. A restarted agent cannot
@@ -300,7 +318,8 @@
 	a.cancelOrders()
 	x.agentInstance = x.instanceNumber
 	a.known, a.foreign, a.born = true, false, x.born
-	a.deadline, a.longest, a.lapsed, a.uncertain, a.acked = 0, m.now.Sub(x.born)+termsHoldMax, false, false, 0
+	a.reading, a.readAt = m.clock(x), m.now
+	a.deadline, a.longest, a.lapsed, a.uncertain, a.acked = 0, a.reading+termsHoldMax, false, false, 0
 	a.leaveSaid, a.gone, a.draining = false, false, false
 	a.life++
 }
@@ -348,18 +367,33 @@
 		}
 		r.Lapsed = a.lapsed
 	}
-	a.session.reports = append(a.session.reports, termsReport{r, m.now.Sub(a.born), a.life})
+	earliest := a.reading + time.Duration(fleet.ClockRate*float64(m.now.Sub(a.readAt)))
+	a.session.reports = append(a.session.reports, termsReport{r, earliest, a.life})
+}
+
+// clock returns what the clock of an executor shows.
+func (m *termsModel) clock(x *modelExecutor) time.Duration {
+	return time.Duration(x.rate * float64(m.now.Sub(x.born)))
+}
+
+// timeOf returns when the clock of an executor shows a time, or will, and no later than the
+// longest lease from now ends.
+func (m *termsModel) timeOf(x *modelExecutor, clock time.Duration) time.Time {
+	return x.born.Add(time.Duration(float64(min(clock, m.clock(x)+termsHoldMax)) / x.rate))
+}
+
+// restart starts an executor anew, with a clock of its own.
+func (m *termsModel) restart(x *modelExecutor) {
+	m.modelVMs.restart(x)
+	if rapid.Bool().Draw(m.t, "slow clock") {
+		x.rate = fleet.ClockRate
+	}
 }
 
 // extend extends the lease of an executor to a time on its clock.
 func (m *termsModel) extend(x *modelExecutor, clock time.Duration) {
-	if until := x.born.Add(clock); clock > 0 && until.After(x.deadline) {
-		if limit := m.now.Add(termsHoldMax); until.After(limit) {
-			until = limit
-		}
-		if until.After(x.deadline) {
-			x.deadline = until
-		}
+	if until := m.timeOf(x, clock); clock > 0 && until.After(x.deadline) {
+		x.deadline = until
 	}
 }
 
@@ -369,6 +403,10 @@
 	if !a.known || a.foreign || a.gone || a.session == nil || a.term < x.fence {
 		return
 	}
+	if x.silent {
+		a.uncertain = true
+		return
+	}
 	x.fence = a.term
 	if x.agentInstance != x.instanceNumber {
 		if faultCallReachesNext && !a.uncertain {
@@ -382,6 +420,7 @@
 		m.acknowledge(x, a.acked)
 	}
 	a.uncertain, a.lapsed = false, false
+	a.reading, a.readAt = m.clock(x), m.now
 	m.tracef("%s lists running %v ended %v, lease until %v", x.instance(), x.running, x.ended, x.deadline.Sub(start))
 	if !a.draining {
 		a.leaveSaid = false
@@ -391,11 +430,6 @@
 		running = append(running, fleet.Running{Task: id, Run: x.running[id]})
 	}
 	ended := slices.Clone(x.ended[:min(len(x.ended), termsListedEnds)])
-	m.report(a, Report{Listed: true, Partial: len(x.ended) >= termsListedEnds, Running: running, Ended: ended, Results: a.answerListed(running, ended)})
-}
-
-// answerListed ends the start orders whose runs are listed.
-func (a *termsAgent) answerListed(running []fleet.Running, ended []fleet.End) []Result {
 	listed := map[RunRef]bool{}
 	for _, r := range running {
 		listed[RunRef{r.Task, r.Run}] = true
@@ -403,6 +437,41 @@
 	for _, e := range ended {
 		listed[RunRef{e.Task, e.Run}] = true
 	}
+	results := append(m.endExpired(a, listed), a.answerListed(listed)...)
+	m.report(a, Report{Listed: true, Partial: len(x.ended) >= termsListedEnds, Running: running, Ended: ended, Results: results})
+}
+
+// endExpired ends the orders whose run is not listed after the deadline of each call that
+// may start it. A start is ordered to stop, which nothing waits for.
+func (m *termsModel) endExpired(a *termsAgent, listed map[RunRef]bool) []Result {
+	margin := termsExpiry
+	if faultOrderEndsEarly {
+		margin = -2 * time.Second
+	}
+	var results []Result
+	for i, o := range a.x.inFlight {
+		ref := RunRef{o.start.Task, o.start.Run}
+		if !o.repeat || o.until == 0 || a.reading <= o.until+margin || listed[ref] {
+			continue
+		}
+		m.tracef("%s: order of %s run %d ends by its deadline", a.x.instance(), ref.Task, ref.Run)
+		modelExpired++
+		a.x.inFlight[i].repeat = false
+		delete(a.unanswered, ref)
+		if o.stop && !o.revoke {
+			results = append(results, Result{Task: ref.Task, Run: ref.Run, Stop: true, Result: fleet.OrderDone})
+			continue
+		}
+		results = append(results, Result{Task: ref.Task, Run: ref.Run, Result: fleet.OrderRevoked})
+		if len(a.x.inFlight) < termsCalls {
+			a.x.inFlight = append(a.x.inFlight, modelOrder{term: a.term, instance: o.instance, stop: true, start: o.start})
+		}
+	}
+	return results
+}
+
+// answerListed ends the start orders whose runs are listed.
+func (a *termsAgent) answerListed(listed map[RunRef]bool) []Result {
 	var results []Result
 	for i, o := range a.x.inFlight {
 		ref := RunRef{o.start.Task, o.start.Run}
@@ -411,13 +480,14 @@
 			results = append(results, Result{Task: ref.Task, Run: ref.Run, Result: fleet.OrderDone})
 		}
 	}
-	maps.DeleteFunc(a.unanswered, func(ref RunRef, _ bool) bool { return listed[ref] })
+	maps.DeleteFunc(a.unanswered, func(ref RunRef, _ time.Duration) bool { return listed[ref] })
 	return results
 }
 
 // lapse lets the agent find that every lease of the known instance has ended.
 func (m *termsModel) lapse(a *termsAgent) {
-	if !a.known || a.lapsed || !m.now.Add(-termsExpiry).After(a.born.Add(a.longest)) {
+	latest := a.readAt.Add(time.Duration(float64(a.longest-a.reading) / fleet.ClockRate)) // when the last lease has ended
+	if !a.known || a.lapsed || !m.now.Add(-termsExpiry).After(latest) {
 		return
 	}
 	a.lapsed = true
@@ -447,16 +517,24 @@
 	}
 	a.acked = max(a.acked, f.Stored)
 	for _, r := range f.Stops {
-		m.order(a, modelOrder{stop: true, start: fleet.StartOrder{Task: r.Task, Run: r.Run}})
+		m.order(a, modelOrder{stop: true, start: fleet.StartOrder{Task: r.Task, Run: r.Run}, until: a.unanswered[r]})
 	}
 	for _, r := range f.Starts {
 		ref := RunRef{r.Task, r.Run}
 		if slices.ContainsFunc(a.x.inFlight, func(o modelOrder) bool { return o.repeat && !o.stop && o.start.Task == r.Task && o.start.Run == r.Run }) {
 			continue
 		}
-		uncertain := !faultAgentForgetsCalls && (a.unanswered[ref] || s.first && m.now.Sub(s.began) < termsInherit)
-		a.unanswered[ref] = true
-		m.order(a, modelOrder{start: r, lease: a.deadline, uncertain: uncertain})
+		known, unanswered := a.unanswered[ref]
+		inherits := s.first && m.now.Sub(s.began) < termsInherit
+		until := a.deadline
+		if !faultLastCallOnly {
+			until = max(until, known)
+			if inherits {
+				until = max(until, a.longest)
+			}
+		}
+		a.unanswered[ref] = until
+		m.order(a, modelOrder{start: r, lease: a.deadline, until: until, uncertain: !faultAgentForgetsCalls && (unanswered || inherits)})
 	}
 }
 
@@ -486,8 +564,8 @@
 	}
 	i := rapid.SampledFrom(calls).Draw(m.t, "order")
 	o := x.inFlight[i]
-	if o.repeat && o.uncertain && a.uncertain {
-		return // a hold comes first
+	if o.repeat && o.uncertain && a.uncertain || x.silent {
+		return // a hold comes first, or the call waits at the executor
 	}
 	if o.repeat && (o.stop || !a.draining) && o.instance != x.instance() && !faultCallReachesNext {
 		// It is not sent, as the instance that answers is another one.
@@ -500,6 +578,9 @@
 		delayed = rapid.Bool().Draw(m.t, "late")
 		refused = rapid.IntRange(0, 4).Draw(m.t, "refused") == 0
 	}
+	if x.deaf && o.repeat {
+		answered, delayed = o.stop && rapid.IntRange(0, 3).Draw(m.t, "stop answered") == 0, true
+	}
 	if o.repeat && !o.stop && a.draining { // the agent refuses without a call
 		answered, refused = true, true
 	}
@@ -536,9 +617,9 @@
 
 // call carries out a call. One that receives old or room extends the lease, too.
 func (m *termsModel) call(x *modelExecutor, o modelOrder) fleet.OrderResult {
-	o.deadline = x.born.Add(o.lease)
-	if limit := m.now.Add(termsHoldMax); o.deadline.After(limit) {
-		o.deadline = limit
+	o.deadline = m.timeOf(x, o.lease)
+	if faultLateByTheLease && x.deadline.After(o.deadline) {
+		o.deadline = x.deadline
 	}
 	result := m.carryOut(x, o, o.repeat)
 	m.tracef("%s: call of term %d for %s to %s run %d, stop %v, lease until %v: %v", x.instance(), o.term, o.instance, o.start.Task, o.start.Run, o.stop, o.deadline.Sub(start), result)
@@ -590,7 +671,7 @@
 			left := time.Duration(float64(termsGrantGrace-m.now.Sub(l.confirmed)) * fleet.ClockRate)
 			if f.ttl = min(termsLease, left); f.ttl > 0 {
 				f.answer = *s.answer
-				if until := m.now.Add(termsLongest(f.ttl)); until.After(n.LeaseUntil) {
+				if until := m.now.Add(termsLongest(f.ttl)); until.After(n.LeaseUntil) && !faultGrantNotCounted {
 					n.LeaseUntil = until
 				}
 			}
@@ -704,6 +785,38 @@
 	m.pass(rapid.IntRange(3, 8).Draw(m.t, "renewals"))
 }
 
+// impair has an executor answer no orders, or no calls at all, for a while in which its agent
+// has orders for it, and carries the calls out late.
+func (m *termsModel) impair(a *termsAgent) {
+	l := m.latest()
+	m.confirm(l)
+	m.cycle(l, a)
+	m.dispatch(l)
+	a.x.deaf = true
+	m.receiveAll(a)
+	m.arrive(a, false)
+	a.x.silent = rapid.Bool().Draw(m.t, "silent")
+	for range rapid.IntRange(1, 3).Draw(m.t, "parts") {
+		m.pass(rapid.IntRange(1, 5).Draw(m.t, "renewals"))
+		switch rapid.IntRange(0, 5).Draw(m.t, "beside") {
+		case 0:
+			m.restartAgent(a)
+			m.dial(l, a)
+		case 1:
+			if a.session != nil {
+				a.loseSession()
+			}
+			m.dial(l, a)
+		case 2:
+			m.electBeside()
+		}
+	}
+	a.x.deaf, a.x.silent = false, false
+	for range rapid.IntRange(1, 4).Draw(m.t, "calls") {
+		m.arrive(a, true)
+	}
+}
+
 // advance advances the clock.
 func (m *termsModel) advance(by time.Duration) {
 	m.now = m.now.Add(by)
@@ -774,6 +887,9 @@
 // recover ends all faults and requires that every job ends.
 func (m *termsModel) recover() {
 	m.calm = true
+	for _, x := range m.executors {
+		x.deaf, x.silent = false, false
+	}
 	l := m.latest()
 	l.cut = false
 	done := func() bool {
@@ -810,7 +926,9 @@
 }
 
 const (
-	minTermsStarts = 14000
+	minTermsStarts  = 14000
+	minTermsExpired = 100
+	minTermsCounted = 100
 	// termsChecks is the number of checks unless the command names one. Each takes longer
 	// than those of the model of one leader.
 	termsChecks = 3000
@@ -828,8 +946,13 @@
 // leaders lead at a time.
 func TestExploreLeadersBesideEachOther(t *testing.T) {
 	limitChecks(t, termsChecks)
-	modelStarts = 0
-	defer func() { require.Greater(t, modelStarts, minTermsStarts) }()
+	modelStarts, modelExpired, modelCounted = 0, 0, 0
+	defer func() {
+		t.Logf("%d starts, %d orders ended by their deadline, %d runs by count", modelStarts, modelExpired, modelCounted)
+		require.Greater(t, modelStarts, minTermsStarts)
+		require.Greater(t, modelExpired, minTermsExpired)
+		require.Greater(t, modelCounted, minTermsCounted)
+	}()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTermsModel(t, rapid.IntRange(1, 3).Draw(t, "executors"))
 		advance := func() {
@@ -843,7 +966,7 @@
 			{12, func() { m.cycle(m.leader(), m.agent()) }}, {4, func() { m.hold(m.agent()) }}, {4, func() { m.read(m.leader(), m.agent()) }},
 			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent(), true) }},
 			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
-			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {2, func() { m.reborn(m.agent()) }},
+			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {2, func() { m.reborn(m.agent()) }}, {2, func() { m.impair(m.agent()) }},
 			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
 			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
 			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
--- a/internal/fleet/ledger/explore_test.go
+++ b/internal/fleet/ledger/explore_test.go
@@ -37,6 +37,7 @@
 	uncertain bool          // a call before may have started the run
 	revoke    bool          // a stop after a refusal, which is reported as revoked
 	lease     time.Duration // deadline by the clock of the instance
+	until     time.Duration // last deadline of a call that may start the run; 0: not known
 }
 
 // modelExecutor follows the platform's rules for runs.
@@ -55,6 +56,10 @@
 	inFlight       []modelOrder
 	born           time.Time // start of the instance
 	connected      bool
+	// The fields below are of the model with several leaders.
+	rate   float64 // of the clock
+	silent bool    // it answers no calls
+	deaf   bool    // it answers no orders
 }
 
 func (x *modelExecutor) instance() string { return fmt.Sprintf("%s@%d", x.name, x.instanceNumber) }
@@ -351,6 +356,7 @@
 func (m *modelVMs) restart(x *modelExecutor) {
 	x.instanceNumber++
 	x.fence, x.number, x.deadline, x.born, x.endedAfter = 0, 0, time.Time{}, m.now, map[uint64]int{}
+	x.rate = 1
 	x.running, x.closed, x.ended, x.lapsedEnds = map[fleet.TaskID]int{}, map[fleet.TaskID]int{}, nil, map[uint64]bool{}
 }
 
