side: end a stop without an answer by its deadline, also of an earlier process's start

What callers would see: a task that is to move, or whose place is needed, waits for as long as an unhealthy executor refuses its stop although it lists that the run is not there, if another process of the agent had ordered the start or if the start's order had ended by its deadline before.

Cause: a stop ended by its deadline only if this process knew an unanswered start.

Change: no call of a start that was made before the stop has a deadline later than the longest lease that the agent counts with, which includes those of earlier processes; this bounds each stop, by 4 s from the last grant or by the longest lease from the first lists.

The new case of TestOrderWithoutAnAnswerEndsAtItsDeadline failed before ("the order has no outcome" after 34 s of the executor's clock). The exploration plays the same rule.

--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -517,7 +517,7 @@
 	}
 	a.acked = max(a.acked, f.Stored)
 	for _, r := range f.Stops {
-		m.order(a, modelOrder{stop: true, start: fleet.StartOrder{Task: r.Task, Run: r.Run}, until: a.unanswered[r]})
+		m.order(a, modelOrder{stop: true, start: fleet.StartOrder{Task: r.Task, Run: r.Run}, until: max(a.unanswered[r], a.longest)})
 	}
 	for _, r := range f.Starts {
 		ref := RunRef{r.Task, r.Run}
--- a/internal/fleet/side/deadline_test.go
+++ b/internal/fleet/side/deadline_test.go
@@ -68,12 +68,14 @@
 	for name, c := range map[string]struct {
 		result fleet.OrderResult
 		stop   bool // the run is ordered to stop meanwhile
+		before bool // an earlier process of the agent was ordered to start it
 		want   fleet.OrderResult
 	}{
-		"start without an answer": {want: fleet.OrderRevoked},
-		"start and stop refused":  {result: fleet.OrderBusy, want: fleet.OrderRevoked},
-		"stop without an answer":  {stop: true, want: fleet.OrderDone},
-		"stop refused":            {result: fleet.OrderBusy, stop: true, want: fleet.OrderDone},
+		"start without an answer":  {want: fleet.OrderRevoked},
+		"start and stop refused":   {result: fleet.OrderBusy, want: fleet.OrderRevoked},
+		"stop without an answer":   {stop: true, want: fleet.OrderDone},
+		"stop refused":             {result: fleet.OrderBusy, stop: true, want: fleet.OrderDone},
+		"stop of an earlier start": {result: fleet.OrderBusy, stop: true, before: true, want: fleet.OrderDone},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, _ := newTestAgent(t)
@@ -82,7 +84,10 @@
 			ref := ledger.RunRef{Task: fleet.TaskID{Job: "job"}, Run: 1}
 			a.post(t.Context(), func() {
 				a.opts.Executors, a.session, a.lease.deadline = x, s, deadline
-				a.startRun(s, fleet.StartOrder{Task: ref.Task, Run: ref.Run})
+				a.lease.maxDeadline = deadline
+				if !c.before {
+					a.startRun(s, fleet.StartOrder{Task: ref.Task, Run: ref.Run})
+				}
 				if c.stop {
 					a.stopRun(s, ref)
 				}
--- a/internal/fleet/side/orders.go
+++ b/internal/fleet/side/orders.go
@@ -243,7 +243,8 @@
 		return
 	}
 	o := a.beginOrder(s, ref, true)
-	o.deadline = a.unanswered[ref]
+	// No call of this or an earlier process that may start the run has a later deadline.
+	o.deadline = max(a.unanswered[ref], a.lease.maxDeadline)
 	e, only, term := *a.executor, a.lease.check(a.executor.Born), a.term
 	go func() {
 		for o.ctx.Err() == nil {
