lead: searches for tasks to preempt for lasting tasks beside many short steps

What callers would see: a lasting task that waits while filling tasks hold the memory it needs, for as long as eight steps of short tasks come before it that fit nowhere.

Cause: each plan makes eight searches for tasks to preempt, in the order of the queue. Short tasks in time come first and use them up, also where they gain nothing.

Change: lasting tasks have eight searches of their own.

TestLastingTaskPreemptsBesideManyShortSteps failed before (no task was stopped).

--- a/internal/fleet/lead/lasting_test.go
+++ b/internal/fleet/lead/lasting_test.go
@@ -111,3 +111,30 @@
 	}
 	require.Less(t, waited, time.Second, "wait beside room")
 }
+
+// Guards against a lasting task that waits for the memory of filling tasks because steps of
+// short tasks that fit nowhere, and gain nothing by a search, use up the searches of each plan.
+func TestLastingTaskPreemptsBesideManyShortSteps(t *testing.T) {
+	l := newPlanFixture(1)
+	l.plan.policy = func(j *ledger.Job) fleet.Policy {
+		if j.ID == "render" {
+			return fleet.Policy{Pool: "pool", MaxAttempts: 2, Priority: 1}
+		}
+		return fleet.Policy{Pool: "pool", MaxAttempts: 2}
+	}
+	l.submit("render", fleet.Step{Count: 8, Need: structs.Resources{MilliCPU: 1000, MemoryMB: 16000}, Fills: true})
+	l.plan.plan(l.now)
+	l.list()
+	for i := range maxPreemptSearches {
+		l.submit(fmt.Sprint("large-", i), fleet.Step{Count: 1, Need: structs.Resources{MilliCPU: 33000, MemoryMB: 100}})
+	}
+	l.submit("feed", fleet.Step{Count: 1, Need: structs.Resources{MilliCPU: 6400, MemoryMB: 13000}, Lasting: true})
+	l.plan.plan(l.now)
+	stopping := 0
+	for _, r := range l.ledger.Nodes["vm-000"].Runs {
+		if r.State == ledger.Stopping {
+			stopping++
+		}
+	}
+	require.Equal(t, 1, stopping, "a filling task makes room")
+}
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -40,7 +40,8 @@
 	// to a second.
 	preemptInterval = 300 * time.Millisecond
 	// maxPreemptSearches bounds the searches of one plan for tasks to preempt: each
-	// looks at every run of the fleet.
+	// looks at every run of the fleet. Lasting tasks have as many of their own: short tasks
+	// come first and may fit nowhere.
 	maxPreemptSearches = 8
 	// clearInterval is the minimum interval between moves of lasting tasks off the
 	// VMs kept for filling tasks.
@@ -114,14 +115,14 @@
 	failed := place.Failed{}
 	p.locality.begin(failed, now)
 	p.startSuspects(ready, vms, nodes, failed, now)
-	searches := 0
+	searches := map[bool]int{} // by whether for a lasting task
 	for _, r := range ready {
 		left := p.startTasks(r, vms, nodes, failed, now)
 		p.locality.addUnplaced(left, r)
-		if left == nil || left.Fills || searches == maxPreemptSearches {
+		if left == nil || left.Fills || searches[left.Lasting] == maxPreemptSearches {
 			continue
 		}
-		searches++
+		searches[left.Lasting]++
 		p.preempt(left, r.Step, vms, nodes, now)
 	}
 }
