ledger: count starts without an answer as trouble of their VM

What callers would see: tasks that wait for 5 s and more, several times, on an executor that lists its runs and answers no orders. Once the orders have ended by their deadline, its VM is the emptiest and gets the next tasks, lasting ones too.

Cause: only refusals and failed runs counted for Trouble.

Change: a start that is revoked, as its calls had no answer or were refused after one without, counts like a refusal. As before, what befalls most VMs excludes none.

TestExecutorThatAnswersNoStartsIsNotPreferred failed before (the tasks went there again).

--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -401,3 +401,30 @@
 	require.Positive(t, alone)
 	require.LessOrEqual(t, len(l.suspectsPerVM(t)), 2)
 }
+
+// Guards against an executor that lists its runs and answers no start, and that gets the next
+// tasks as soon as the orders before have ended by their deadlines, as its VM is the emptiest.
+func TestExecutorThatAnswersNoStartsIsNotPreferred(t *testing.T) {
+	l := newPlanFixture(2)
+	deaf, other := l.ledger.Nodes["vm-000"], l.ledger.Nodes["vm-001"]
+	step := fleet.Step{Count: 16, Need: structs.Resources{MilliCPU: 1000, MemoryMB: 100}}
+	l.submit("first", step)
+	l.plan.plan(l.now)
+	require.Len(t, deaf.Runs, 8)
+	report := ledger.Report{Executor: &deaf.Executor, Listed: true}
+	for id, r := range deaf.Runs { // their deadlines have passed
+		report.Results = append(report.Results, ledger.Result{Task: id, Run: r.Number, Result: fleet.OrderRevoked})
+	}
+	for range 2 {
+		l.listOne("vm-001", other)
+		l.ledger.Report(deaf, report, l.now)
+		report.Results = nil
+	}
+	require.Empty(t, deaf.Runs)
+	l.now = l.now.Add(200 * time.Millisecond)
+	step.Count = 4
+	l.submit("second", step)
+	l.plan.plan(l.now)
+	require.Empty(t, deaf.Runs, "no task goes there while the other VM has room")
+	require.Len(t, other.Runs, 8+8+4)
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -162,7 +162,7 @@
 	// lapsed is true if the agent has said in the present session that every lease
 	// of the instance has expired, so that no run of earlier terms goes on.
 	lapsed bool
-	// Trouble counts failed runs as 1 and refused ones as 0.5, and decays with
+	// Trouble counts failed runs as 1, refused and unanswered starts as 0.5, and decays with
 	// troubleHalfLife. This is its value at troubleAt; TroubleAt returns later ones.
 	Trouble          float64
 	troubleAt        time.Time // when Trouble was last updated
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -19,6 +19,9 @@
 	// troubleLimit bounds Node.Trouble, so that a VM whose executor recovers is used again
 	// within three half-lives, however many runs have failed there.
 	troubleLimit = 24.0
+	// refusalTrouble is what a start that is refused, or has no answer, adds to Node.Trouble;
+	// a failed run adds 1.
+	refusalTrouble = 0.5
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
@@ -380,8 +383,11 @@
 	case r.Result == fleet.OrderOld, r.Result == fleet.OrderRevoked:
 		// The run may be running, be stopping or have ended; the lists show which.
 		run.absentFrom = n.completeListings + absenceListings
+		if r.Result == fleet.OrderRevoked { // calls had no answer, or were refused after one without
+			n.addTrouble(refusalTrouble, now)
+		}
 	default:
-		n.addTrouble(0.5, now)
+		n.addTrouble(refusalTrouble, now)
 		if p, never := refusedOnce(run, r.Result, now); never {
 			l.closeRun(run, p, now, retryDelay)
 			return
