lead: refuse no job for a VM that was there within the last minute

What callers would see: a job that could run is refused, as no VM of its kind is there for a moment: its executor has come back as another kind or with less room, all VMs of the kind have left just before a leader was elected, or have registered while the leader is cut off from the store.

Cause: only registrations that went in the leader's own term counted as VMs that may come back, and a leader ruled out VMs 10 s after its election and also without the store.

Change: an executor that becomes another kind counts as departed, too; a leader rules out nothing in the first minute of its term, for which departures count, and while the store has not confirmed the term for 5 s. Departed VMs of one kind are kept once, so that flapping executors do not fill the list.

TestJobForAVMThatWasThereLatelyIsNotRefused failed before, and fails with each of the three parts taken out.

--- a/internal/fleet/lead/fit.go
+++ b/internal/fleet/lead/fit.go
@@ -19,13 +19,11 @@
 // to fit, so the leader is asked about few jobs. Without its answer a job is accepted.
 const (
 	fitTimeout = 250 * time.Millisecond // of the question; a submission must not wait long for a leader out of reach
-	// fitSettling is the time from its election in which a leader rules out nothing: the
-	// agents of a fleet that starts register one after another.
-	fitSettling = 10 * time.Second
 	// departedKept is how long a VM that has left counts as one that may come back, after
-	// a restart or upkeep.
+	// a restart or upkeep. For as long a leader does not know which VMs have left before its
+	// term, and rules out nothing.
 	departedKept = time.Minute
-	maxDeparted  = 1024
+	maxDeparted  = 1024             // kinds of VMs
 	misfitRetry  = 10 * time.Second // a VM that fits may be added meanwhile
 	// maxFits bounds the capacities that an entry keeps for each pool and label.
 	maxFits = 8
@@ -33,17 +31,23 @@
 	maxFitKinds = 1024
 )
 
-// departedVM is a VM that has left.
+// departedVM is a VM that has left or has become another kind, the latest one of its kind.
 type departedVM struct {
 	executor fleet.Executor
 	at       time.Time
 }
 
-// noteDeparture records a VM whose registration is gone.
-func (l *Leader) noteDeparture(name string, now time.Time) {
-	l.departed = slices.DeleteFunc(l.departed, func(d departedVM) bool { return now.Sub(d.at) > departedKept })
-	if n := l.ledger.Nodes[name]; n != nil && len(l.departed) < maxDeparted {
-		l.departed = append(l.departed, departedVM{n.Executor, now})
+// isSameKind reports whether the same tasks fit on two executors.
+func isSameKind(a, b fleet.Executor) bool {
+	return a.Pool == b.Pool && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+}
+
+// noteDeparture records an executor whose VM is gone, or has become another kind: executors
+// that fail may come back as another kind, and later as this one again.
+func (l *Leader) noteDeparture(e fleet.Executor, now time.Time) {
+	l.departed = slices.DeleteFunc(l.departed, func(d departedVM) bool { return now.Sub(d.at) > departedKept || isSameKind(d.executor, e) })
+	if len(l.departed) < maxDeparted {
+		l.departed = append(l.departed, departedVM{e, now})
 	}
 }
 
@@ -61,9 +65,10 @@
 }
 
 // fit returns the largest VM that can run tasks with a need once it is free. VMs that
-// drain, are evacuated or have left lately count.
+// drain, are evacuated or have left lately count. A leader that the store does not confirm
+// may have missed the registration of others.
 func (l *Leader) fit(need link.Need, now time.Time) link.Fit {
-	fit := link.Fit{Known: now.Sub(l.began) > fitSettling}
+	fit := link.Fit{Known: now.Sub(l.began) > departedKept && l.unconfirmed(now) < startGrace}
 	consider := func(e fleet.Executor) {
 		fits := e.Pool == need.Pool && need.Need.Fits(e.Capacity) && (need.Label == "" || slices.Contains(e.Labels, need.Label))
 		if fits && (fit.Capacity == nil || fit.Capacity.Fits(e.Capacity)) {
--- a/internal/fleet/lead/fit_test.go
+++ b/internal/fleet/lead/fit_test.go
@@ -10,6 +10,7 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
 	"vanillalock.example/vanillalock/internal/structs"
 )
 
@@ -41,7 +42,7 @@
 		}
 		report(vm)
 		require.Equal(t, fleet.ResultOK, submit("at the start", labelled))
-		time.Sleep(fitSettling + time.Second)
+		time.Sleep(departedKept + time.Second)
 
 		require.Equal(t, fleet.ResultNotRun, submit("label", labelled))
 		require.Equal(t, fleet.ResultNotRun, submit("large", func(j *fleet.Job) { j.Steps[0].Need.MilliCPU = 8001 }))
@@ -56,7 +57,7 @@
 		report(vm)
 		require.Equal(t, fleet.ResultOK, submit("draining", labelled))
 		l.post(ctx, func() {
-			l.noteDeparture("vm", time.Now())
+			l.noteDeparture(l.ledger.Nodes["vm"].Executor, time.Now())
 			l.ledger.RemoveNode("vm")
 		})
 		e.fits = fits{}
@@ -82,3 +83,51 @@
 		require.True(t, isNotFound(err))
 	}
 }
+
+// Guards against the refusal of jobs that could run a moment later, for a leader that does
+// not know which VMs have been there: one whose executor has come back as another kind, or
+// with less room, one that has left before the leader's term, and one that has come while the
+// leader hears nothing from the store.
+func TestJobForAVMThatWasThereLatelyIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoadingLeader(t, &slowStore{}, 0)
+		need := link.Need{Pool: "pool", Label: "ssd", Need: structs.Resources{MilliCPU: 4000}}
+		session := newNodeLink("")
+		session.connected = true
+		l.links["vm"] = session
+		l.ledger.AddNode("vm")
+		number := uint64(0)
+		report := func(e fleet.Executor) {
+			number++
+			l.handleReport(session, "vm", link.Report(number, ledger.Report{Executor: &e}).GetNodeReport())
+		}
+		refuses := func() bool {
+			l.verifiedAt = time.Now()
+			fit := l.fit(need, time.Now())
+			return fit.Known && fit.Capacity == nil
+		}
+		vm := fleet.Executor{Instance: "vm@1", Pool: "pool", Labels: []string{"hdd"}, Capacity: structs.Resources{MilliCPU: 8000}}
+		report(vm)
+		time.Sleep(departedKept)
+		require.False(t, refuses(), "a VM may have left before the term")
+		time.Sleep(time.Second)
+		require.True(t, refuses())
+		later := l.fit(need, time.Now().Add(startGrace+time.Second))
+		require.False(t, later.Known, "it hears nothing from the store")
+
+		vm.Instance, vm.Labels = "vm@2", []string{"ssd"}
+		report(vm)
+		vm.Capacity.MilliCPU = 2000
+		report(vm)
+		require.False(t, refuses(), "it had room a moment ago")
+		for range 2000 { // it goes down and up
+			vm.Instance, vm.Capacity.MilliCPU = vm.Instance+"'", 3000
+			report(vm)
+		}
+		vm.Instance, vm.Labels = "vm@3", []string{"hdd"}
+		report(vm)
+		require.False(t, refuses(), "the next instance may be of that kind again")
+		time.Sleep(departedKept + time.Second)
+		require.True(t, refuses())
+	})
+}
--- a/internal/fleet/lead/load.go
+++ b/internal/fleet/lead/load.go
@@ -213,7 +213,9 @@
 		if link := l.links[name]; link != nil {
 			link.stop()
 			delete(l.links, name)
-			l.noteDeparture(name, time.Now())
+			if n := l.ledger.Nodes[name]; n != nil {
+				l.noteDeparture(n.Executor, time.Now())
+			}
 			l.ledger.RemoveNode(name)
 		}
 		return
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -223,6 +223,9 @@
 		n.specs = link.NewSpecs()
 	}
 	now := time.Now()
+	if report.Executor != nil && node.Executor.Instance != "" && !isSameKind(node.Executor, *report.Executor) {
+		l.noteDeparture(node.Executor, now)
+	}
 	l.ledger.Report(node, report, now)
 	if l.jobsAsked.number == 0 && l.ledger.AwaitsJobs() {
 		l.verifySoon()
