queue: jobs that were put off for long come before newer ones

What callers would see: a filling job that waits for good beside newer ones, for as long as more of them come than the capacity serves. If short and filling steps of one priority wait, an order that depends on the order before.

Cause: after 2 min a filling job got the rank of jobs in time, but of these the newest comes first, so that it was the last of them. And steps of both kinds were compared by age, filling ones among themselves by the work left: no order, as three of them can each come before the next.

Change: jobs past the age up to which they are put off come first, the oldest before the others. Within the other ranks filling steps come after the others.

TestFillingJobThatWasPutOffForLongComesFirst and TestOrderIsTransitive failed before.

--- a/internal/fleet/queue/queue.go
+++ b/internal/fleet/queue/queue.go
@@ -6,7 +6,8 @@
 // burst each job waits until it is late. Instead, what frees up goes to the tasks that
 // can still be in time, then to lasting tasks, then to late tasks, and last to those
 // whose outcome comes too late to be of use. Of filling jobs, those that are nearly through
-// come first, then the newest: if all are begun, all are late.
+// come first, then the newest: if all are begun, all are late. What has waited for long comes
+// before all of these, so that each job ends.
 package queue
 
 import (
@@ -30,8 +31,8 @@
 // use to its caller.
 const usefulObjectives = 3
 
-// Ages from which on a late job is no longer put behind others of its priority, so that
-// each job ends. Filling jobs are longer, and after a burst all of them are that old.
+// Ages from which on a job comes before newer ones of its priority, so that each job ends.
+// Filling jobs are longer, and after a burst all of them are that old.
 const (
 	maxDemotion        = 30 * time.Second
 	maxFillingDemotion = 2 * time.Minute
@@ -39,7 +40,8 @@
 
 // Ranks of items of one priority.
 const (
-	inTime = iota
+	old = iota
+	inTime
 	lasting
 	late
 	tooLate
@@ -56,7 +58,9 @@
 	switch {
 	case i.Lasting:
 		return lasting
-	case i.Objective <= 0 || ends <= i.Objective || age >= putOff:
+	case age >= putOff:
+		return old
+	case i.Objective <= 0 || ends <= i.Objective:
 		return inTime
 	case ends <= usefulObjectives*i.Objective:
 		return late
@@ -65,15 +69,23 @@
 	}
 }
 
-// Compare orders two items: by priority and rank, and then by age. Filling tasks come by the
-// share of their work that is left, and of jobs of the same share the newest comes first:
-// the oldest would use up the capacity and be late all the same. Neither favours a size.
+// Compare orders two items: by priority and rank, and then by age. Filling tasks come after
+// the others of their rank, by the share of their work that is left, and of jobs of the same
+// share the newest comes first: the oldest would use up the capacity and be late all the
+// same. Neither favours a size.
 func Compare(a, b Item, now time.Time) int {
-	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.rank(now), b.rank(now))); c != 0 {
+	rank := a.rank(now)
+	if c := cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(rank, b.rank(now))); c != 0 {
 		return c
 	}
-	if a.Fills && b.Fills {
+	switch {
+	case rank == old || !a.Fills && !b.Fills:
+		return a.Accepted.Compare(b.Accepted)
+	case a.Fills && b.Fills:
 		return cmp.Or(cmp.Compare(a.WorkLeft, b.WorkLeft), b.Accepted.Compare(a.Accepted))
+	case a.Fills:
+		return 1
+	default:
+		return -1
 	}
-	return a.Accepted.Compare(b.Accepted)
 }
--- a/internal/fleet/queue/queue_test.go
+++ b/internal/fleet/queue/queue_test.go
@@ -159,3 +159,36 @@
 	slices.SortFunc(got, func(a, b Item) int { return Compare(a, b, now) })
 	require.Equal(t, want, got)
 }
+
+// Guards against filling jobs that wait for good beside newer ones, of which more come than
+// the capacity serves: the newest come first, and each is in time when it is new.
+func TestFillingJobThatWasPutOffForLongComesFirst(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	job := func(age time.Duration) Item {
+		return Item{Fills: true, Accepted: now.Add(-age), Objective: 9 * time.Second, Remaining: time.Second, WorkLeft: 1}
+	}
+	old, older, begun := job(maxFillingDemotion), job(maxFillingDemotion+time.Second), job(time.Second)
+	begun.WorkLeft = 0.1
+	require.Negative(t, Compare(old, job(time.Second), now))
+	require.Negative(t, Compare(old, begun, now))
+	require.Negative(t, Compare(older, old, now))
+}
+
+// Guards against an order that depends on the order before, as tasks of different kinds are
+// compared by different rules.
+func TestOrderIsTransitive(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+	item := func() Item {
+		return Item{
+			Lasting: r.IntN(8) == 0, Fills: r.IntN(2) == 0, Accepted: now.Add(-time.Duration(r.IntN(150)) * time.Second),
+			Objective: time.Duration(r.IntN(3)) * time.Minute, WorkLeft: float64(r.IntN(4)) / 4,
+		}
+	}
+	for range 20000 {
+		a, b, c := item(), item(), item()
+		if Compare(a, b, now) <= 0 && Compare(b, c, now) <= 0 {
+			require.LessOrEqual(t, Compare(a, c, now), 0, "%+v %+v %+v", a, b, c)
+		}
+	}
+}
