--- a/internal/fleet/lead/explainstate.go
+++ b/internal/fleet/lead/explainstate.go
@@ -87,7 +87,7 @@
 	} else if l.unconfirmed(now) >= startGrace {
 		s.Withheld = "the store has not confirmed the term lately"
 	}
-	s.Settled = now.Sub(l.began) > fitSettling
+	s.Settled = l.knowsAllVMs(now)
 	s.Evacuated = slices.Sorted(maps.Keys(l.evacuations.domains))
 	for kind := range l.departedKinds(now) {
 		s.Departed = append(s.Departed, kind)
