place: a large filling task does not wait for good beside VMs that are half idle

What callers would see: a job whose filling tasks want more CPU than is idle on any VM waits for as long as each VM runs some other filling task, although half of the service or more is idle; smaller tasks that come and go take what becomes free.

Cause: since a filling task that has waited needs a VM without filling tasks, or idle CPU for all but a tenth of the VM's; nothing reserves CPU for it.

Change: one that has waited for 1.5 s may also share a VM of which half is idle, and one that has waited for a minute needs some idle CPU only. A VM bears no more than one task beyond its CPU by that. Explain uses the same rule; it counted forced ones as others.

TestLargeFillingTaskStartsBesideOthers failed before (no VM).

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -27,6 +27,9 @@
 	// placed where it gets somewhat less than it asks for, and a lasting task, which has
 	// no limit of attempts, before it may be placed on a VM on which many runs have failed.
 	forceAfter = 1500 * time.Millisecond
+	// overdueAfter is how long a filling task waits before any idle CPU is enough for it.
+	// Nothing reserves CPU for a large one while smaller ones come and go.
+	overdueAfter = time.Minute
 	// minRunBeforeMove is how long a filling task must have run before it is moved:
 	// a stop and a restart cost about 0.3 s of work.
 	minRunBeforeMove = 400 * time.Millisecond
@@ -315,7 +318,8 @@
 	out := place.Task{
 		Key: stepKey(t.ID), Pool: p.policy(t.Step.Job).Pool, Need: s.Need, Fills: s.Fills, Lasting: s.Lasting, Count: s.Count, Image: s.Image,
 		Label: s.Label, DataRack: s.DataRack, FarFactor: p.locality.farFactor, MaxPerVM: s.MaxPerVM,
-		Forced: (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter,
+		Forced:  (s.Fills || s.Lasting) && now.Sub(t.ReadySince) > forceAfter,
+		Overdue: s.Fills && now.Sub(t.ReadySince) > overdueAfter,
 	}
 	if t.EndedRun > 0 {
 		out.AvoidName = t.LastNode
@@ -465,7 +469,7 @@
 			continue
 		}
 		task := p.describeTask(r.Task, now)
-		task.Forced = false
+		task.Forced, task.Overdue = false, false
 		for _, vm := range vms {
 			if vm.Name != r.Node.Name && place.Fits(&task, vm, p.estimator.DisturbanceProbability) {
 				vm.Take(&task, 0)
--- a/internal/fleet/place/explain.go
+++ b/internal/fleet/place/explain.go
@@ -39,7 +39,7 @@
 			e.CPU++
 		case with.MemoryMB > vm.Capacity.MemoryMB:
 			e.Memory++
-		case t.Fills && !t.Forced && vm.Spare() < t.Need.MilliCPU:
+		case t.Fills && !hasIdleCPU(t, vm):
 			e.CPU++
 		case t.Fills && !isTolerable(t, vm, interference):
 			e.Interference++
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -66,7 +66,8 @@
 	MaxPerVM  int     // largest number of tasks of the step on a VM; 0: no limit
 	AvoidName string  // VM of the last run, if that did not end well
 	Isolated  bool    // goes where the fewest other tasks start and run
-	Forced    bool    // has waited long: accepts a VM with much Trouble, or somewhat less CPU than it wants
+	Forced    bool    // has waited long: accepts a VM with much Trouble, or less CPU than it wants
+	Overdue   bool    // a filling task that has waited very long: accepts any idle CPU
 }
 
 // Weights of the score in cores: how many free cores offset one unit of each.
@@ -159,13 +160,22 @@
 const maxOvercommit = 0.1
 
 // hasIdleCPU reports whether a filling task finds enough idle CPU on a VM. A forced one
-// may find somewhat less, or be the only filling task.
+// may find somewhat less, or share a VM of which half is idle: a service that is half idle
+// must not keep a job waiting because each VM runs something. An overdue one needs some idle
+// CPU only, so that a VM bears one more task than its CPU at most.
 func hasIdleCPU(t *Task, vm *VM) bool {
-	missing := t.Need.MilliCPU - vm.Spare()
-	if t.Forced {
-		return vm.Filling == 0 || float64(missing) <= maxOvercommit*float64(vm.Capacity.MilliCPU)
+	spare := vm.Spare()
+	missing := t.Need.MilliCPU - spare
+	switch {
+	case missing <= 0:
+		return true
+	case t.Overdue && spare > 0:
+		return true
+	case t.Forced:
+		return vm.Filling == 0 || 2*spare >= vm.Capacity.MilliCPU || float64(missing) <= maxOvercommit*float64(vm.Capacity.MilliCPU)
+	default:
+		return false
 	}
-	return missing <= 0
 }
 
 // isExcluded reports whether the VM has so much Trouble that only forced tasks go there.
--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -147,3 +147,24 @@
 	require.Equal(t, 1, Choose(task, []*VM{failing, kept}, noInterference))
 	require.Equal(t, 0, Choose(task, []*VM{failing}, noInterference))
 }
+
+// Guards against a filling task that waits for good beside VMs that are half idle, as each
+// has some other filling task and its own need is larger than what is idle.
+func TestLargeFillingTaskStartsBesideOthers(t *testing.T) {
+	half, fuller, full := vm("half", 32), vm("fuller", 32), vm("full", 32)
+	half.Filling, fuller.Filling, full.Filling = 16000, 17000, 32000
+	task := &Task{Pool: "pool", Image: "render", Need: cpu(30), Fills: true}
+	require.Equal(t, -1, Choose(task, []*VM{half}, noInterference))
+	task.Forced = true
+	require.Equal(t, 0, Choose(task, []*VM{half}, noInterference), "half of the VM is idle")
+	require.Equal(t, -1, Choose(task, []*VM{fuller, full}, noInterference))
+	task.Overdue = true
+	require.Equal(t, 0, Choose(task, []*VM{fuller, full}, noInterference), "it has waited for long")
+	require.Equal(t, -1, Choose(task, []*VM{full}, noInterference))
+
+	failed := Failed{}
+	task.Overdue = false
+	failed.Add(task)
+	task.Overdue = true
+	require.False(t, failed.Covers(task), "others count for it")
+}
--- a/internal/fleet/place/ranking.go
+++ b/internal/fleet/place/ranking.go
@@ -109,11 +109,12 @@
 // kind groups tasks for which the same VMs count.
 type kind struct {
 	pool, label, image string // the image of filling tasks only
-	fills, forced      bool
+	fills              bool
+	forced, overdue    bool
 }
 
 func kindOf(t *Task) kind {
-	k := kind{pool: t.Pool, label: t.Label, fills: t.Fills, forced: t.Forced}
+	k := kind{pool: t.Pool, label: t.Label, fills: t.Fills, forced: t.Forced, overdue: t.Overdue}
 	if t.Fills {
 		k.image = t.Image
 	}
