near: no task waits for the rack with its data for longer than 2 s

What callers would see: a job of long tasks (over 3 s at far_x 2) of which nothing runs for more than 3 s while VMs away from its data have room, which counts as lost.

Cause: the wait was bounded by the gain only, which grows with the run time, and a shortage that ends the bound of half the gain may be of tasks that fit nowhere.

Change: the wait is 2 s at most since the task was ready.

TestWaitIsShortAlsoForALongGain failed before (a wait of 4 s).

--- a/internal/fleet/near/near.go
+++ b/internal/fleet/near/near.go
@@ -14,6 +14,10 @@
 // whole length, and runs may take twice as long as expected: estimates are off by up to 90%.
 const plentyShare = 0.5
 
+// maxWait is the longest wait in all. A job of which nothing runs for 3 s beside room counts
+// as lost, and other tasks may lack room for a reason that does not concern it.
+const maxWait = 2 * time.Second
+
 // Task describes a task that would start far from its data now.
 type Task struct {
 	Duration  time.Duration // expected run time on the rack with the data
@@ -43,12 +47,12 @@
 	return max(0, time.Duration((t.FarFactor-1)*float64(t.Duration)))
 }
 
-// Limit returns the longest time from now that the task may wait: the rest of its gain,
-// and no longer than the objective of its job permits. The sum of all waits of a task is
-// therefore at most its gain, however often it is decided.
+// Limit returns the longest time from now that the task may wait: the rest of its gain, up to
+// maxWait, and no longer than the objective of its job permits. The sum of all waits of a
+// task is therefore at most its gain, however often it is decided.
 func (t Task) Limit() time.Duration {
 	gain := t.Gain()
-	limit := gain - t.Waited
+	limit := min(gain, maxWait) - t.Waited
 	if t.HasObjective && t.Slack >= gain {
 		// The job is in time with a far start now, so it has to be in time with a far
 		// start after a wait in vain.
--- a/internal/fleet/near/near_test.go
+++ b/internal/fleet/near/near_test.go
@@ -38,3 +38,21 @@
 		require.Equal(t, c.waits, waits, name)
 	}
 }
+
+// Guards against jobs without a run for 3 s beside room (LOST): tasks that gain much more than
+// that by the rack with their data would all wait for it.
+func TestWaitIsShortAlsoForALongGain(t *testing.T) {
+	task := Task{Duration: 8 * time.Second, FarFactor: 2, Recheck: 100 * time.Millisecond}
+	for _, scarce := range []bool{false, true} {
+		for waited := time.Duration(0); waited < 4*time.Second; waited += task.Recheck {
+			task.Waited = waited
+			if _, waits := Wait(task, Rack{Frees: []time.Duration{100 * time.Millisecond}, Scarce: scarce}); !waits {
+				break
+			}
+		}
+		require.LessOrEqual(t, task.Waited, 2*time.Second)
+		task.Waited = 0
+		_, waits := Wait(task, Rack{Frees: []time.Duration{3 * time.Second}, Scarce: scarce})
+		require.False(t, waits)
+	}
+}
