lead: one computation of the chains of a job's steps

The order of waiting steps and the wait for data locality each had one. The values are the same; the test of the chains is unchanged but for the argument. Tests of the planner, of locality and of explanations pass.

--- a/internal/fleet/lead/locality.go
+++ b/internal/fleet/lead/locality.go
@@ -191,10 +191,10 @@
 func nearTerms(job *fleet.Job, policy fleet.Policy, step int, age time.Duration, farFactor float64, expect expectation) near.Task {
 	out := near.Task{Duration: expect(&job.Steps[step]), FarFactor: farFactor}
 	if job.Repeats == 0 {
-		all, rest := expectedChains(job.Steps, step, expect)
-		objective := time.Duration(policy.Stretch*float64(all)) + policy.Objective
+		chains := chainsOf(job.Steps, expect)
+		objective := time.Duration(policy.Stretch*float64(slices.Max(chains))) + policy.Objective
 		out.HasObjective = objective > 0
-		out.Slack = objective - age - rest
+		out.Slack = objective - age - chains[step]
 	}
 	return out
 }
@@ -216,27 +216,6 @@
 	return p.expectationOf(s.Job.Queue)(s.Spec)
 }
 
-// expectedChains returns the expected time of the longest chain of dependent steps, and of
-// the longest one that begins with the step of the given index.
-func expectedChains(steps []fleet.Step, index int, expect expectation) (all, rest time.Duration) {
-	whole, after := make([]time.Duration, len(steps)), make([]time.Duration, len(steps))
-	for i := range steps {
-		d := expect(&steps[i])
-		for _, before := range steps[i].After {
-			whole[i] = max(whole[i], whole[before])
-			if after[before] > 0 {
-				after[i] = max(after[i], after[before]+d)
-			}
-		}
-		if i == index {
-			after[i] = d
-		}
-		whole[i] += d
-		all, rest = max(all, whole[i]), max(rest, after[i])
-	}
-	return all, rest
-}
-
 // roomOnRack returns when VMs on the rack with the data of a task are expected to have
 // room for such tasks. VMs that take no tasks, such as draining ones and those in
 // trouble, never have.
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -207,32 +207,30 @@
 // newItem describes a step of a job for the queue.
 func newItem(job *fleet.Job, policy fleet.Policy, step int, workLeft float64) queue.Item {
 	s := &job.Steps[step]
+	chains := chainsOf(job.Steps, func(s *fleet.Step) time.Duration { return s.Estimate })
 	return queue.Item{
 		Priority: policy.Priority, Lasting: s.Lasting, Fills: s.Fills, Accepted: job.Accepted,
-		Objective: objectiveOf(job, policy), Remaining: chains(job.Steps)[step], WorkLeft: workLeft,
+		Objective: objectiveOf(job, policy, slices.Max(chains)), Remaining: chains[step], WorkLeft: workLeft,
 	}
 }
 
-// objectiveOf returns the time from its acceptance in which a job is expected to end,
-// with an allowance for estimates that are too short; 0: none is known.
-func objectiveOf(job *fleet.Job, policy fleet.Policy) time.Duration {
+// objectiveOf returns the time from its acceptance in which a job is expected to end, by
+// its estimated longest chain of steps, with an allowance for estimates that are too short;
+// 0: none is known.
+func objectiveOf(job *fleet.Job, policy fleet.Policy, chain time.Duration) time.Duration {
 	const allowance = 1.5
-	if len(job.Steps) == 0 || job.Repeats > 0 {
-		return 0
-	}
-	chain := slices.Max(chains(job.Steps))
-	if chain == 0 {
+	if chain == 0 || job.Repeats > 0 {
 		return 0
 	}
 	return time.Duration(allowance*policy.Stretch*float64(chain)) + policy.Objective
 }
 
-// chains returns for each step the estimated time of the longest chain of dependent steps
+// chainsOf returns for each step the expected time of the longest chain of dependent steps
 // that begins with it.
-func chains(steps []fleet.Step) []time.Duration {
+func chainsOf(steps []fleet.Step, expect expectation) []time.Duration {
 	out := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- { // a step comes after those that it depends on
-		out[i] += steps[i].Estimate
+		out[i] += expect(&steps[i])
 		for _, before := range steps[i].After {
 			out[before] = max(out[before], out[i])
 		}
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -301,7 +301,7 @@
 	}
 	require.Equal(t, 4, clips)
 
-	require.Equal(t, []time.Duration{3 * time.Second, 5 * time.Second / 2, 2 * time.Second}, chains([]fleet.Step{{Estimate: time.Second}, {Estimate: 5 * time.Second / 2}, {Estimate: 2 * time.Second, After: []int{0}}}))
+	require.Equal(t, []time.Duration{3 * time.Second, 5 * time.Second / 2, 2 * time.Second}, chainsOf([]fleet.Step{{Estimate: time.Second}, {Estimate: 5 * time.Second / 2}, {Estimate: 2 * time.Second, After: []int{0}}}, func(s *fleet.Step) time.Duration { return s.Estimate }))
 }
 
 // crashStarting has the executor of a VM answer the starts of its runs, list them, and
