--- a/internal/fleet/lead/evacuate_fleet_test.go
+++ b/internal/fleet/lead/evacuate_fleet_test.go
@@ -42,22 +42,22 @@
 	return c.starts[executor]
 }
 
-// deafExecutor is an executor that does not answer starts while deaf is set. It counts the
+// unresponsiveExecutor is an executor that does not answer starts while unresponsive is set. It counts the
 // stops that it is given.
-type deafExecutor struct {
+type unresponsiveExecutor struct {
 	*standin.Executor
-	deaf  atomic.Bool
+	unresponsive  atomic.Bool
 	stops atomic.Int64
 }
 
-func (x *deafExecutor) Start(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, o fleet.StartOrder) (fleet.OrderResult, error) {
-	if x.deaf.Load() {
+func (x *unresponsiveExecutor) Start(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, o fleet.StartOrder) (fleet.OrderResult, error) {
+	if x.unresponsive.Load() {
 		return fleet.OrderUnknown, fmt.Errorf("%w: silenced by the test", kv.ErrUncertain)
 	}
 	return x.Executor.Start(ctx, e, only, fence, o)
 }
 
-func (x *deafExecutor) Stop(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, task fleet.TaskID, run int) (fleet.OrderResult, error) {
+func (x *unresponsiveExecutor) Stop(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, task fleet.TaskID, run int) (fleet.OrderResult, error) {
 	x.stops.Add(1)
 	return x.Executor.Stop(ctx, e, only, fence, task, run)
 }
@@ -99,9 +99,9 @@
 	r.logOf = func(string) *log.Logger { return log.New(&out) }
 	counter := &startCounter{starts: map[string]int{}}
 	r.audit.SetObserver(counter)
-	executors := map[string]*deafExecutor{}
+	executors := map[string]*unresponsiveExecutor{}
 	for _, vm := range []string{"east", "west"} {
-		executors[vm] = &deafExecutor{Executor: standin.NewExecutor(vm, 50*time.Millisecond, r.audit)}
+		executors[vm] = &unresponsiveExecutor{Executor: standin.NewExecutor(vm, 50*time.Millisecond, r.audit)}
 		e := executorOf(vm)
 		e.FailureDomain = vm
 		r.runAgent(vm, listen(t), executors[vm], r.store, e)
@@ -116,7 +116,7 @@
 	run("before")
 	require.NotZero(t, counter.on("east"))
 
-	executors["east"].deaf.Store(true)
+	executors["east"].unresponsive.Store(true)
 	job := wideJob("unconfirmed")
 	r.submit(entry, job)
 	require.Eventually(t, func() bool { return out.contains("task=unconfirmed.0.0.7") }, waitTimeout, time.Millisecond, "all tasks are ordered")
@@ -128,7 +128,7 @@
 		return stops > 0 && stops >= int64(out.count("start withdrawn"))
 	}, waitTimeout, time.Millisecond)
 	earlier := counter.on("east")
-	executors["east"].deaf.Store(false)
+	executors["east"].unresponsive.Store(false)
 	r.await(entry, "unconfirmed", "done")
 	r.requireDoneOnce(job)
 	run("during")
--- a/internal/fleet/side/deadline_test.go
+++ b/internal/fleet/side/deadline_test.go
@@ -13,22 +13,22 @@
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 )
 
-// deafExecutor returns its lists, half a second of its clock after the last ones, and
+// unresponsiveExecutor returns its lists, half a second of its clock after the last ones, and
 // answers no start and no stop in a way that settles it.
-type deafExecutor struct {
+type unresponsiveExecutor struct {
 	result fleet.OrderResult // of orders, but for the first; OrderUnknown: they get no answer
 	mu     sync.Mutex
 	clock  time.Duration
 	starts int
 }
 
-func (x *deafExecutor) now() time.Duration {
+func (x *unresponsiveExecutor) now() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.clock
 }
 
-func (x *deafExecutor) Hold(ctx context.Context, _ fleet.Executor, _ fleet.InstanceCheck, _ uint64, _ time.Duration, _ uint64, _ time.Duration) (fleet.RunLists, error) {
+func (x *unresponsiveExecutor) Hold(ctx context.Context, _ fleet.Executor, _ fleet.InstanceCheck, _ uint64, _ time.Duration, _ uint64, _ time.Duration) (fleet.RunLists, error) {
 	fleet.Sleep(ctx, 5*time.Millisecond)
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -36,14 +36,14 @@
 	return fleet.RunLists{Born: firstBorn, Clock: x.clock}, nil
 }
 
-func (x *deafExecutor) answer() (fleet.OrderResult, error) {
+func (x *unresponsiveExecutor) answer() (fleet.OrderResult, error) {
 	if x.result == fleet.OrderUnknown {
 		return x.result, errors.New("no answer")
 	}
 	return x.result, nil
 }
 
-func (x *deafExecutor) Start(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.StartOrder) (fleet.OrderResult, error) {
+func (x *unresponsiveExecutor) Start(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.StartOrder) (fleet.OrderResult, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.starts++; x.starts == 1 {
@@ -52,11 +52,11 @@
 	return x.answer()
 }
 
-func (x *deafExecutor) Stop(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.TaskID, int) (fleet.OrderResult, error) {
+func (x *unresponsiveExecutor) Stop(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.TaskID, int) (fleet.OrderResult, error) {
 	return x.answer()
 }
 
-func (x *deafExecutor) Pace(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.TaskID, int, int) (fleet.OrderResult, error) {
+func (x *unresponsiveExecutor) Pace(context.Context, fleet.Executor, fleet.InstanceCheck, uint64, fleet.TaskID, int, int) (fleet.OrderResult, error) {
 	return fleet.OrderDone, nil
 }
 
@@ -79,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a, _ := newTestAgent(t)
-			x := &deafExecutor{result: c.result}
+			x := &unresponsiveExecutor{result: c.result}
 			s := newTestSession(t, 0)
 			ref := ledger.RunRef{Task: fleet.TaskID{Job: "job"}, Run: 1}
 			a.post(t.Context(), func() {
