--- a/internal/fleet/lead/evacuate_fleet_test.go
+++ b/internal/fleet/lead/evacuate_fleet_test.go
@@ -46,8 +46,8 @@
 // stops that it is given.
 type unresponsiveExecutor struct {
 	*standin.Executor
-	unresponsive  atomic.Bool
-	stops atomic.Int64
+	unresponsive atomic.Bool
+	stops        atomic.Int64
 }
 
 func (x *unresponsiveExecutor) Start(ctx context.Context, e fleet.Executor, only fleet.InstanceCheck, fence uint64, o fleet.StartOrder) (fleet.OrderResult, error) {
