lead: count what waits before an explained step by comparison alone

explain sorted the whole queue for each step, and kept the results, as queue.Compare was no consistent order when it was written. Since it is one (TestOrderIsTransitive), so comparing with each waiting step gives the same counts, and the comment no longer held. The tests of explanations pass unchanged, among them TestExplanationIsWhatTheNextPlanDoes (400 random fleets).

--- a/internal/fleet/lead/explain.go
+++ b/internal/fleet/lead/explain.go
@@ -150,7 +150,6 @@
 	ends         [][]expectedEnd
 	interference place.Interference
 	expect       expectation
-	known        map[queue.Item][]WaitingStep // results of ahead
 }
 
 func newExplainer(s *PlannerState, job *fleet.Job) *explainer {
@@ -160,7 +159,7 @@
 	for _, e := range s.Durations {
 		known[e.Class] = e
 	}
-	x := &explainer{state: s, job: job, known: map[queue.Item][]WaitingStep{}, interference: remembered(estimator.DisturbanceProbability)}
+	x := &explainer{state: s, job: job, interference: remembered(estimator.DisturbanceProbability)}
 	x.expect = func(step *fleet.Step) time.Duration {
 		e, ok := known[durations.ClassOf(job.Queue, step)]
 		if !ok {
@@ -255,32 +254,15 @@
 	}
 }
 
-// ahead returns the waiting steps of the same pool that come before an item. It sorts as
-// sortReady does: filling and other steps of one rank have no order that holds for any
-// three of them, so that comparisons with the item alone may differ from a plan.
+// ahead returns the waiting steps of the same pool that come before an item. Of equal
+// items the new one comes last, as its step became ready last.
 func (x *explainer) ahead(item queue.Item) []WaitingStep {
-	if known, ok := x.known[item]; ok {
-		return known
-	}
-	isNew := len(x.state.Waiting) // the step that became ready last
-	order := make([]int, isNew+1)
-	for i := range order {
-		order[i] = i
-	}
-	itemAt := func(i int) queue.Item {
-		if i == isNew {
-			return item
-		}
-		return x.state.Waiting[i].Item
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return queue.Compare(itemAt(a), itemAt(b), x.state.At) })
-	out := []WaitingStep{}
-	for _, i := range order[:slices.Index(order, isNew)] {
-		if w := x.state.Waiting[i]; w.Pool == x.job.Policy.Pool {
+	var out []WaitingStep
+	for _, w := range x.state.Waiting {
+		if w.Pool == x.job.Policy.Pool && queue.Compare(w.Item, item, x.state.At) <= 0 {
 			out = append(out, w)
 		}
 	}
-	x.known[item] = out
 	return out
 }
 
