lead: log what a takeover that isn't settled waits for

Cause: while inherited tasks wait after a takeover nothing is logged: a task that may run by the order of an earlier leader counts as not ready, so 'Task waits for a VM.' leaves it out, and 'settled' comes at the end only. Change: 'Inherited tasks wait for VMs.' with the number of tasks, the VMs and what is left of their leases, after 1 s and each 2 s, and the counter long_takeovers. Measured: TestLongTakeoversAreLogged fails without the line (none was there); tests of lead's waits and of the ledger pass.

--- a/internal/fleet/lead/metrics.go
+++ b/internal/fleet/lead/metrics.go
@@ -16,11 +16,12 @@
 	Submit *obs.Latency // of submissions, measured at the entry
 	State  *obs.Latency // of requests for the state of a job
 
-	OrderBytes  obs.Counter // of frames to agents
-	Reports     obs.Counter // of agents
-	ReportBytes obs.Counter
-	LongWaits   obs.Counter // steps with a task that has long waited for a VM, again each waitLineEvery
-	LongOrders  obs.Counter // starts and stops that are long without an outcome, in the same way
+	OrderBytes    obs.Counter // of frames to agents
+	Reports       obs.Counter // of agents
+	ReportBytes   obs.Counter
+	LongWaits     obs.Counter // steps with a task that has long waited for a VM, again each waitLineEvery
+	LongOrders    obs.Counter // starts and stops that are long without an outcome, in the same way
+	LongTakeovers obs.Counter // takeovers that hold tasks back for long, in the same way
 
 	EvacuatedDomains obs.Gauge // failure domains in which the leader starts nothing
 }
@@ -30,7 +31,7 @@
 	set := obs.NewMetrics(name)
 	return &Metrics{
 		set: set, OrderBytes: set.Counter("order_bytes"), Reports: set.Counter("reports"), ReportBytes: set.Counter("report_bytes"),
-		LongWaits: set.Counter("long_waits"), LongOrders: set.Counter("long_orders"), EvacuatedDomains: set.Gauge("evacuated_domains"),
+		LongWaits: set.Counter("long_waits"), LongOrders: set.Counter("long_orders"), LongTakeovers: set.Counter("long_takeovers"), EvacuatedDomains: set.Gauge("evacuated_domains"),
 		Commit: set.Latency("commit"), Plan: set.Latency("plan"), Loop: set.Latency("loop_delay"), Submit: set.Latency("submit"), State: set.Latency("state"),
 	}
 }
--- a/internal/fleet/lead/waiting.go
+++ b/internal/fleet/lead/waiting.go
@@ -14,8 +14,9 @@
 const (
 	longWait      = 3 * time.Second // of a ready task; a lasting one may be without a run for 6 s
 	longOrder     = 6 * time.Second // of a start or stop without a known outcome; a lease ends after 4 s
+	longTakeover  = time.Second     // without the lists of all VMs; they come within 0.2 s
 	waitScanEvery = 500 * time.Millisecond
-	waitLineEvery = 2 * time.Second // of one step, or one order
+	waitLineEvery = 2 * time.Second // of one step, one order, or the takeover
 	waitLines     = 3               // per second in total
 )
 
@@ -28,6 +29,7 @@
 	nextScan time.Time
 	steps    map[*ledger.Step]time.Time // last line of a step
 	orders   map[*ledger.Run]waitingOrder
+	takeover time.Time // last line of the takeover; before the first one: when the first scan was
 }
 
 // waitingOrder is a run that is starting or stopping.
@@ -49,6 +51,28 @@
 	w.nextScan = now.Add(waitScanEvery)
 	p.reportWaitingTasks(now)
 	w.reportOrders(p.ledger, now)
+	w.reportTakeover(p.ledger, now)
+}
+
+// reportTakeover logs for which VMs inherited tasks wait.
+func (w *waits) reportTakeover(l *ledger.Ledger, now time.Time) {
+	if l.Settled {
+		return
+	}
+	if w.takeover.IsZero() {
+		w.takeover = now.Add(longTakeover - waitLineEvery)
+	}
+	if now.Sub(w.takeover) < waitLineEvery {
+		return
+	}
+	t := l.Takeover(now)
+	if t.Held == 0 {
+		return
+	}
+	w.takeover = now
+	w.metrics.LongTakeovers.Add(1)
+	w.log.Warn("Inherited tasks wait for VMs.", "tasks", t.Held, "vms", t.Silent[:min(ledger.MaxNames, len(t.Silent))], "silent", len(t.Silent),
+		"at most", t.Until.Sub(now).Round(time.Millisecond))
 }
 
 // reportWaitingTasks logs the oldest ready task of each step that has waited for long.
--- a/internal/fleet/lead/waiting_test.go
+++ b/internal/fleet/lead/waiting_test.go
@@ -55,3 +55,28 @@
 	require.Contains(t, out.String(), "order=start")
 	require.Contains(t, out.String(), "task=stuck.0.0.")
 }
+
+// Guards against inherited tasks that wait for a VM of which no line tells.
+func TestLongTakeoversAreLogged(t *testing.T) {
+	l := newPlanFixture(2)
+	var out bytes.Buffer
+	l.plan.waits = newWaits(log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}), NewMetrics("takeovers-test"))
+	l.ledger.AddNode("vm-silent")
+	l.ledger.Settled = false
+	job := fleet.Job{ID: "inherited", Queue: "q", Policy: fleet.Policy{Pool: "pool"}, Steps: []fleet.Step{{Count: 3, Need: structs.Resources{MilliCPU: 100}}}}
+	l.ledger.AddJob(job, true, l.now)
+	play := func(span time.Duration) {
+		for end := l.now.Add(span); l.now.Before(end); l.now = l.now.Add(100 * time.Millisecond) {
+			l.plan.plan(l.now)
+		}
+	}
+	play(longTakeover)
+	require.Empty(t, out.String())
+	play(2 * waitLineEvery)
+	require.Contains(t, out.String(), "tasks=3 vms=[vm-silent] silent=1")
+	require.Equal(t, int64(strings.Count(out.String(), "Inherited tasks wait for VMs.")), l.plan.waits.metrics.LongTakeovers.Value())
+	out.Reset()
+	l.ledger.Settled = true
+	play(2 * waitLineEvery)
+	require.NotContains(t, out.String(), "Inherited tasks wait for VMs.")
+}
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -460,7 +460,7 @@
 		}
 		var tasks []*Task
 		for _, t := range s.Tasks {
-			if t.Current == nil && !t.Done && !t.NotBefore.After(now) && t.countIsStored() {
+			if t.isReady(now) {
 				tasks = append(tasks, t)
 			}
 		}
@@ -477,6 +477,12 @@
 	return steps
 }
 
+// isReady reports whether a task of an open step may be started, unless an earlier leader
+// may have started it.
+func (t *Task) isReady(now time.Time) bool {
+	return t.Current == nil && !t.Done && !t.NotBefore.After(now) && t.countIsStored()
+}
+
 // Start orders a run of a task on a node. The ticket, if any, is passed to the
 // executor.
 func (l *Ledger) Start(t *Task, n *Node, ticket string, now time.Time) {
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -25,6 +25,8 @@
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
+	// MaxNames is the number of names of VMs in a log line.
+	MaxNames = 8
 	// stopRepeatDelay is how long a run may be listed after its stop was ordered before
 	// the stop is ordered again. Executors stop a run within a second.
 	stopRepeatDelay = 1500 * time.Millisecond
@@ -201,6 +203,42 @@
 // listedSince reports whether current lists of the executor have come at or after a time.
 func (n *Node) listedSince(t time.Time) bool { return n.Listed && !n.ListedAt.Before(t) }
 
+// Takeover is what a takeover that is not settled waits for.
+type Takeover struct {
+	Held   int       // tasks that are ready but may run by the order of an earlier leader
+	Silent []string  // names of the VMs whose runs of earlier terms are not known
+	Until  time.Time // when the last lease of an executor of these has expired
+}
+
+// Takeover returns what the ledger waits for until it is Settled.
+func (l *Ledger) Takeover(now time.Time) Takeover {
+	var t Takeover
+	if l.Settled {
+		return t
+	}
+	for name, n := range l.Nodes {
+		if n.complete || n.lapsed {
+			continue
+		}
+		t.Silent = append(t.Silent, name)
+		if n.LeaseEnd().After(t.Until) {
+			t.Until = n.LeaseEnd()
+		}
+	}
+	slices.Sort(t.Silent)
+	for s := range l.openSteps {
+		if !s.Job.Inherited {
+			continue
+		}
+		for _, task := range s.Tasks {
+			if task.isReady(now) {
+				t.Held++
+			}
+		}
+	}
+	return t
+}
+
 // settledBy describes by what the takeover has settled: its duration, and the nodes of which
 // no lists have come.
 func (l *Ledger) settledBy(now time.Time) string {
@@ -211,8 +249,7 @@
 		}
 	}
 	slices.Sort(silent)
-	const most = 8 // keeps the line short
-	return fmt.Sprintf("after %v, %d VMs, by expired leases %d %v", now.Sub(l.takeover).Round(time.Millisecond), len(l.Nodes), len(silent), silent[:min(most, len(silent))])
+	return fmt.Sprintf("after %v, %d VMs, by expired leases %d %v", now.Sub(l.takeover).Round(time.Millisecond), len(l.Nodes), len(silent), silent[:min(MaxNames, len(silent))])
 }
 
 // applyLists applies the lists of an executor. Partial ones prove no run absent.
