--- a/internal/fleet/lead/fleet_test.go
+++ b/internal/fleet/lead/fleet_test.go
@@ -361,6 +361,13 @@
 	return s.Store.KeepLease(ctx, lease)
 }
 
+func (s *silentStore) EndLease(ctx context.Context, lease uint64) error {
+	if err := s.answer(ctx, silence); err != nil {
+		return err
+	}
+	return s.Store.EndLease(ctx, lease)
+}
+
 // put writes a key without notifying the leader.
 func (r *testFleet) put(key string, value any) {
 	raw, err := json.Marshal(value)
