ledger: start a task whose listed run has ended without waiting for other VMs

Cause: until a takeover is settled, all inherited tasks wait for all VMs. Change: a task of which a run was listed as running in this term is located. No earlier leader had heard of the end of that run, so none has started the task again. It could hear of it later in one way, which the findings' thought leaves out: by a new instance of the executor, from an agent that was started anew and has forgotten the later term. So a report of a new instance waits until the term is confirmed by a call sent in the session, as starts do, and until then a VM doesn't count for a settled takeover.

--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -38,6 +38,13 @@
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
 	grantedAt     time.Time          // when the latest lease was granted
 	specs         *link.Specs        // that the agent keeps; nil: none
+	held          []heldReport       // of the session, until the store has confirmed the term
+}
+
+// heldReport is a report that waits to be applied.
+type heldReport struct {
+	number uint64
+	report ledger.Report
 }
 
 func newNodeLink(address string) *nodeLink {
@@ -131,7 +138,7 @@
 			cancel()
 			return
 		}
-		n.connected, n.outbox, n.cancel, n.lastReport, n.pendingReport, n.specs, n.grantedAt = true, outbox, cancel, 0, 0, nil, time.Time{}
+		n.connected, n.outbox, n.cancel, n.lastReport, n.pendingReport, n.specs, n.grantedAt, n.held = true, outbox, cancel, 0, 0, nil, time.Time{}, nil
 		l.holdStarts(name, time.Now())
 	}) {
 		return
@@ -180,6 +187,7 @@
 		delete(l.heldSince, name)
 		if node := l.ledger.Nodes[name]; node != nil {
 			l.ledger.ReleaseStarts(node)
+			l.applyHeldReports(name, node)
 		}
 	}
 }
@@ -189,7 +197,7 @@
 	if !n.connected {
 		return
 	}
-	n.connected, n.pendingReport = false, 0
+	n.connected, n.pendingReport, n.held = false, 0, nil
 	if l.links[name] != n { // the VM was removed, and may be registered again
 		return
 	}
@@ -222,7 +230,43 @@
 	if m.GetKeepsSpecs() && n.specs == nil {
 		n.specs = link.NewSpecs()
 	}
-	now := time.Now()
+	if len(n.held) > 0 || node.StartsHeld() && node.Replaces(report) {
+		n.hold(heldReport{m.GetNumber(), report})
+		return
+	}
+	l.applyReport(n, node, m.GetNumber(), report, time.Now())
+}
+
+// maxHeldReports bounds the reports of a session that wait. Agents send a few a second, and
+// the store confirms the term within milliseconds unless it is out of reach.
+const maxHeldReports = 64
+
+// hold keeps a report until the term is confirmed by a call sent in the session. An earlier
+// leader that learned of a new instance from an agent that was started anew would start tasks
+// again which a later leader has started on another VM since.
+func (n *nodeLink) hold(r heldReport) {
+	if len(n.held) == maxHeldReports {
+		n.cancel() // the agent reports everything again in the next session
+		return
+	}
+	n.held = append(n.held, r)
+}
+
+// applyHeldReports applies the reports of a session that have waited.
+func (l *Leader) applyHeldReports(name string, node *ledger.Node) {
+	n := l.links[name]
+	if n == nil {
+		return
+	}
+	held := n.held
+	n.held = nil
+	for _, r := range held {
+		l.applyReport(n, node, r.number, r.report, time.Now())
+	}
+}
+
+// applyReport applies a report of an agent.
+func (l *Leader) applyReport(n *nodeLink, node *ledger.Node, number uint64, report ledger.Report, now time.Time) {
 	if report.Executor != nil && node.Executor.Instance != "" && !isSameKind(node.Executor, *report.Executor) {
 		l.noteDeparture(node.Executor, now)
 	}
@@ -231,7 +275,7 @@
 		l.verifySoon()
 	}
 	if report.Listed {
-		n.pendingReport = m.GetNumber()
+		n.pendingReport = number
 		l.planner.applyReport(node, now)
 	}
 }
--- a/internal/fleet/lead/nodes_test.go
+++ b/internal/fleet/lead/nodes_test.go
@@ -143,3 +143,34 @@
 	require.True(t, tasks[1].Done)
 	require.False(t, tasks[3].Done)
 }
+
+// Guards against an earlier leader that learns of the end of an executor from an agent that was
+// started anew, and starts its task again beside the run that a later leader has started.
+func TestNewInstanceCountsOnceTheTermIsConfirmedInTheSession(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 1)
+	_, err := l.load(t.Context())
+	require.NoError(t, err)
+	node, session := l.ledger.AddNode("vm"), newNodeLink("")
+	session.connected, session.cancel = true, func() {}
+	l.links["vm"] = session
+	number := uint64(0)
+	report := func(instance string, running ...fleet.Running) {
+		number++
+		r := ledger.Report{Executor: &fleet.Executor{Instance: instance}, Listed: true, Running: running}
+		l.handleReport(session, "vm", link.Report(number, r).GetNodeReport())
+	}
+	run := fleet.Running{Task: fleet.TaskID{Job: "0000000000000000"}, Run: 1}
+	report("vm@1", run)
+	report("vm@1", run)
+	require.Len(t, node.Runs, 1)
+	l.holdStarts("vm", time.Now())
+	session.lastReport = 0
+	report("vm@1", run)
+	report("vm@2")
+	report("vm@2", fleet.Running{Task: run.Task, Run: 2})
+	require.Equal(t, "vm@1", node.Executor.Instance, "a later leader may lead")
+	require.Len(t, node.Runs, 1)
+	l.confirm(time.Now())
+	require.Equal(t, "vm@2", node.Executor.Instance)
+	require.Equal(t, 2, node.Runs[run.Task].Number)
+}
--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -55,6 +55,15 @@
 	faultGrantNotCounted = false // the leader does not count its last grant
 )
 
+// Faults of the rules on tasks that are located, to be switched on by hand.
+const (
+	faultReplacedUnconfirmed = false // a new instance counts in a session without a confirmation of the term
+	faultLocatedByItsEnd     = false // a listed end shows that no earlier leader has started the task again
+)
+
+// modelLocated counts the starts of located tasks before their takeover was settled.
+var modelLocated int
+
 // modelExpired counts the orders that have ended by their deadline in all explorations, and
 // modelCounted the runs that were closed by the leader's count during a session.
 var modelExpired, modelCounted int
@@ -629,19 +638,30 @@
 	return result
 }
 
-// read has a leader read a report.
-func (m *termsModel) read(l *termsLeader, a *termsAgent) {
+// read has a leader read a report, and reports whether there was one that it may read.
+func (m *termsModel) read(l *termsLeader, a *termsAgent) bool {
 	s := l.sessions[a.x.name]
 	if s == nil || len(s.reports) == 0 {
-		return
+		return false
 	}
 	r := s.reports[0]
+	if n := l.ledger.Nodes[a.x.name]; n.StartsHeld() && n.Replaces(r.Report) && !faultReplacedUnconfirmed {
+		return false // later reports wait, too
+	}
 	s.reports = s.reports[1:]
 	m.tracef("term %d reads of %s: listed %v lapsed %v running %v ended %v results %v", l.term, a.x.name, r.Listed, r.Lapsed, r.Running, r.Ended, r.Results)
 	l.ledger.Report(l.ledger.Nodes[a.x.name], r.Report, m.now)
+	if faultLocatedByItsEnd {
+		for _, e := range r.Ended {
+			if t := l.ledger.taskByID(e.Task); t != nil {
+				t.located = true
+			}
+		}
+	}
 	if r.Listed {
 		s.answer = &r
 	}
+	return true
 }
 
 // dispatch places ready tasks and sends orders and leases.
@@ -653,6 +673,9 @@
 	if m.now.Sub(l.confirmed) < termsStartGrace {
 		for _, task := range l.ledger.Ready(m.now) {
 			if n := l.ledger.Nodes[m.pick().name]; n.MayStart() && !n.Executor.Draining && n.Runs[task.ID] == nil {
+				if task.Step.Job.Inherited && !l.ledger.Settled {
+					modelLocated++
+				}
 				l.ledger.Start(task, n, "", m.now)
 			}
 		}
@@ -722,9 +745,7 @@
 	}
 	m.adopt(a)
 	m.hold(a)
-	s := l.sessions[a.x.name]
-	for s != nil && len(s.reports) > 0 {
-		m.read(l, a)
+	for m.read(l, a) {
 	}
 	m.dispatch(l)
 	m.receiveAll(a)
@@ -744,8 +765,7 @@
 func (m *termsModel) reset(a *termsAgent) {
 	l := m.latest()
 	m.hold(a)
-	for s := l.sessions[a.x.name]; s != nil && len(s.reports) > 0; {
-		m.read(l, a)
+	for m.read(l, a) {
 	}
 	m.dispatch(l)
 	m.receiveAll(a)
@@ -767,8 +787,7 @@
 	l := m.latest()
 	m.confirm(l)
 	m.hold(a)
-	for s := l.sessions[a.x.name]; s != nil && len(s.reports) > 0; {
-		m.read(l, a)
+	for m.read(l, a) {
 	}
 	m.dispatch(l)
 	m.receiveAll(a)
@@ -946,9 +965,9 @@
 // leaders lead at a time.
 func TestExploreLeadersBesideEachOther(t *testing.T) {
 	limitChecks(t, termsChecks)
-	modelStarts, modelExpired, modelCounted = 0, 0, 0
+	modelStarts, modelExpired, modelCounted, modelLocated = 0, 0, 0, 0
 	defer func() {
-		t.Logf("%d starts, %d orders ended by their deadline, %d runs by count", modelStarts, modelExpired, modelCounted)
+		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count", modelStarts, modelLocated, modelExpired, modelCounted)
 		require.Greater(t, modelStarts, minTermsStarts)
 		require.Greater(t, modelExpired, minTermsExpired)
 		require.Greater(t, modelCounted, minTermsCounted)
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -72,7 +72,11 @@
 	crashes    crashes
 	countedAt  uint64 // version of the job with the crashes as last counted
 	Checkpoint string
-	Current    *Run      // nil: it has no run
+	Current    *Run // nil: it has no run
+	// located is set once a run of the task was listed as running in this term. No earlier
+	// leader has started it again: none had heard of the end of that run when the lists were
+	// made, and none hears of it later in a session in which the term is not confirmed.
+	located    bool
 	NotBefore  time.Time // earliest next start, after a refusal
 	LastNode   string    // node of the last run
 	ReadySince time.Time
@@ -219,7 +223,7 @@
 	Jobs  map[string]*Job  // by id
 	Nodes map[string]*Node // by name
 	// Settled is true once every run of earlier terms is known or has ended.
-	// Until then tasks of inherited jobs are not started.
+	// Until then tasks of inherited jobs are started only if they are located.
 	Settled  bool
 	takeover time.Time
 	maxLease time.Duration
@@ -314,7 +318,7 @@
 	if t == nil || t.Done || t.Current != nil {
 		return
 	}
-	r.Task, t.Current = t, r
+	r.Task, t.Current, t.located = t, r, true
 	r.Node.changes++
 	t.LastRun, t.LastNode = max(t.LastRun, r.Number), r.Node.Name
 	t.Step.Job.Started = true
@@ -455,12 +459,10 @@
 func (l *Ledger) ReadySteps(now time.Time) []ReadyStep {
 	var steps []ReadyStep
 	for s := range l.openSteps {
-		if s.Job.Inherited && !l.Settled {
-			continue
-		}
+		held := s.Job.Inherited && !l.Settled
 		var tasks []*Task
 		for _, t := range s.Tasks {
-			if t.isReady(now) {
+			if t.isReady(now) && (t.located || !held) {
 				tasks = append(tasks, t)
 			}
 		}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -70,7 +70,7 @@
 	if n == nil {
 		return
 	}
-	known := l.Settled || n.complete || n.lapsed
+	known := l.Settled || n.runsKnown()
 	l.Disconnected(n)
 	n.removed = true
 	if len(n.Runs) == 0 && known {
@@ -189,7 +189,7 @@
 		if n.removed && len(n.Runs) == 0 && (expired || l.Settled) {
 			delete(l.Nodes, n.Name)
 		}
-		known := n.complete || n.lapsed
+		known := n.runsKnown()
 		settled = settled && (known || expired)
 		unproven = unproven || !expired && now.After(n.LeaseEnd()) && (awaited || !known && !l.Settled)
 	}
@@ -200,6 +200,19 @@
 	return unproven
 }
 
+// runsKnown reports whether every run of earlier terms is known or has ended. While starts
+// are held, the agent and the executor may have been started anew since they followed a later
+// leader, and show nothing of what that one knows.
+func (n *Node) runsKnown() bool { return (n.complete || n.lapsed) && !n.startsHeld }
+
+// Replaces reports whether a report is of another instance of the executor than the one known.
+func (n *Node) Replaces(r Report) bool {
+	return r.Executor != nil && n.Executor.Instance != "" && r.Executor.Instance != n.Executor.Instance
+}
+
+// StartsHeld reports whether the starts of the node are held.
+func (n *Node) StartsHeld() bool { return n.startsHeld }
+
 // listedSince reports whether current lists of the executor have come at or after a time.
 func (n *Node) listedSince(t time.Time) bool { return n.Listed && !n.ListedAt.Before(t) }
 
@@ -217,7 +230,7 @@
 		return t
 	}
 	for name, n := range l.Nodes {
-		if n.complete || n.lapsed {
+		if n.runsKnown() {
 			continue
 		}
 		t.Silent = append(t.Silent, name)
@@ -231,7 +244,7 @@
 			continue
 		}
 		for _, task := range s.Tasks {
-			if task.isReady(now) {
+			if task.isReady(now) && !task.located {
 				t.Held++
 			}
 		}
