--- /dev/null
+++ b/internal/fleet/lead/contact.go
@@ -0,0 +1,237 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"math"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+// A leader grants leases, and orders starts, only while it is in contact with a majority of
+// the agents of its set, which the record of its term holds. So the next leader learns from
+// the agents when no lease of an earlier one lasts any more, also if that one does not answer.
+
+const (
+	// contactGrace is how long after its last contact with a majority a leader goes on to
+	// grant leases. Agents report every 0.3 s, so that most leases have their full length.
+	contactGrace = executorLease + 500*time.Millisecond
+	// staleContact is the age of a contact from which on it counts as lost.
+	staleContact = time.Second
+	// contactLostFor is how long the contact with a majority is lost before the leader turns
+	// to the agents that it can reach. Leases end later.
+	contactLostFor = 400 * time.Millisecond
+	// contactCacheTime bounds how often the contact is computed, which takes time for each VM.
+	contactCacheTime = 50 * time.Millisecond
+	recordRetry      = 500 * time.Millisecond
+)
+
+// contacts is by which agents a term grants leases, and what they say of earlier leaders.
+type contacts struct {
+	sets quorum.Sets // the current one is stored
+	// heard holds, by the address of an agent, when it last heard from an earlier leader.
+	heard map[string]time.Time
+
+	last       time.Time // contact with a majority; zero: none
+	computedAt time.Time
+	lostSince  time.Time // when the contact was first found lost; zero: it is not
+
+	revision   uint64 // of the record of the term
+	stored     termState
+	unsure     bool // the record may be another one than stored
+	recording  bool
+	retryAfter time.Time
+}
+
+// termState is what the record of a term says besides its entry.
+type termState struct {
+	alone   bool
+	quorums []quorum.Set
+}
+
+func (s termState) equal(o termState) bool {
+	if s.alone != o.alone || len(s.quorums) != len(o.quorums) {
+		return false
+	}
+	for i, set := range s.quorums {
+		if !set.Equal(o.quorums[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// newContacts returns the contacts of a term that begins, whose record has the given
+// revision, after leaders that granted leases by the given sets.
+func newContacts(earlier []quorum.Set, began time.Time, revision uint64) contacts {
+	return contacts{sets: quorum.Inherit(earlier, began), heard: map[string]time.Time{}, revision: revision, stored: termState{quorums: earlier}}
+}
+
+// contact returns when a frame was last sent to a majority of the set that it is known to
+// have received. It reports false if there is no such contact.
+func (l *Leader) contact(now time.Time) (time.Time, bool) {
+	c := &l.contacts
+	if c.computedAt.IsZero() || now.Sub(c.computedAt) >= contactCacheTime {
+		received := make(map[string]time.Time, len(l.links))
+		for _, n := range l.links {
+			if !n.contact.At().IsZero() {
+				received[n.contact.Address()] = n.contact.At()
+			}
+		}
+		c.last, _ = c.sets.Current().Contact(received)
+		c.computedAt = now
+	}
+	return c.last, !c.last.IsZero()
+}
+
+// contactLeft returns for how long leases may be granted, and starts ordered, as of the last
+// contact with a majority.
+func (l *Leader) contactLeft(now time.Time) time.Duration {
+	if l.contacts.sets.Current() == nil {
+		return math.MaxInt64
+	}
+	last, ok := l.contact(now)
+	if !ok {
+		return 0
+	}
+	return contactGrace - l.elapsed(last, l.wallOffset(last), now)
+}
+
+// hearOfEarlierLeaders records what the first report of a session says of earlier leaders. It
+// holds for good: an agent that is started anew counts for none of them, as none is confirmed
+// any more.
+func (l *Leader) hearOfEarlierLeaders(address string, m *pb.NodeReport, now time.Time) {
+	if _, known := l.contacts.heard[address]; !known && m.GetProcess() != 0 {
+		l.contacts.heard[address] = now.Add(-time.Duration(m.GetEarlierLeaderMs()) * time.Millisecond)
+	}
+}
+
+// surveyEarlierLeaders bounds the leases of earlier leaders by what agents say.
+func (l *Leader) surveyEarlierLeaders() {
+	if l.alone || len(l.predecessor.quorums) == 0 {
+		return
+	}
+	var last time.Time
+	for _, set := range l.predecessor.quorums {
+		at, ok := set.LastContact(l.contacts.heard)
+		if !ok {
+			return
+		}
+		last = maxTime(last, at)
+	}
+	end := last.Add(maxLeaseDuration(contactGrace))
+	l.predecessor.maxLease = min(l.predecessor.maxLease, max(0, end.Sub(l.began)))
+	l.ledger.EndEarlierLeases(end)
+}
+
+// maintainRecord stores the record of the term when it has to change: as the agents in
+// contact change, and once leases that were granted otherwise have expired.
+func (l *Leader) maintainRecord(ctx context.Context, now time.Time) {
+	c := &l.contacts
+	next, change := l.nextSet(now)
+	if c.recording || now.Before(c.retryAfter) {
+		return
+	}
+	alone := l.isAlone(now)
+	if alone {
+		c.sets.Expire(now.Add(-maxLeaseDuration(contactGrace)))
+	}
+	state := termState{alone, c.sets.All()}
+	if change {
+		state.quorums = c.sets.AllAfter(next)
+	}
+	if !change && !c.unsure && state.equal(c.stored) {
+		return
+	}
+	writes, err := l.opts.termRecord(state.alone, state.quorums)
+	if err != nil {
+		l.opts.Log.Error("Record of the term not changed.", "err", err)
+		return
+	}
+	txn := l.txn()
+	// An earlier change without an answer may be carried out late, but not after this one.
+	txn.If = append(txn.If, fleet.Condition{Key: fleet.TermKey, Revision: c.revision})
+	txn.Put = writes
+	c.recording = true
+	go func() {
+		revision, err := l.opts.Store.Commit(ctx, txn)
+		l.post(ctx, func() {
+			c.recording = false
+			if err != nil {
+				c.recordFailed(err)
+				l.opts.Log.Warn("Record of the term not changed, trying again.", "err", err)
+				return
+			}
+			c.revision, c.stored, c.unsure = revision, state, false
+			l.alone = state.alone
+			if change {
+				c.sets.Replace(next, time.Now())
+				c.computedAt = time.Time{}
+				l.opts.Log.Info("Leases are granted by other agents.", "term", l.term, "agents", len(next), "known", len(state.quorums))
+			}
+		})
+	}()
+}
+
+// recordFailed handles a change of the record that has failed. One without an answer may be
+// in the store, or be carried out until the next one. Its sets include the one in use.
+func (c *contacts) recordFailed(err error) {
+	c.retryAfter, c.unsure = time.Now().Add(recordRetry), true
+	var conflict *fleet.ConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	for _, item := range conflict.Current {
+		if item.Key == fleet.TermKey {
+			c.revision = item.Revision
+		}
+	}
+}
+
+// nextSet returns the set to be used next, and whether it is another one. The set follows
+// the agents in contact when they have changed by more than a tenth, but at once when the
+// contact with a majority is lost.
+func (l *Leader) nextSet(now time.Time) (quorum.Set, bool) {
+	c := &l.contacts
+	lost := false
+	if last, ok := l.contact(now); ok && now.Sub(last) <= staleContact {
+		c.lostSince = time.Time{}
+	} else if c.lostSince.IsZero() {
+		c.lostSince = now
+	} else {
+		lost = now.Sub(c.lostSince) >= contactLostFor
+	}
+	due := now.Sub(l.lastMaintenance) > maintenanceInterval
+	if !lost && !due {
+		return nil, false
+	}
+	current := c.sets.Current()
+	next, older := l.inContact(now)
+	switch {
+	case len(next) == 0 && older == 0:
+		return nil, false
+	case older > len(next):
+		return nil, current != nil
+	case lost:
+		return next, !next.Equal(current)
+	}
+	return next, next.Changes(current) > len(current)/10
+}
+
+// inContact returns the agents in contact, and the number of connected agents of earlier
+// versions, which don't tell what they have received.
+func (l *Leader) inContact(now time.Time) (current quorum.Set, older int) {
+	var addresses []string
+	for _, n := range l.links {
+		switch {
+		case n.connected && n.contact.IsSilent():
+			older++
+		case now.Sub(n.contact.At()) <= staleContact:
+			addresses = append(addresses, n.contact.Address())
+		}
+	}
+	return quorum.New(addresses), older
+}
--- /dev/null
+++ b/internal/fleet/lead/contact_test.go
@@ -0,0 +1,184 @@
+package lead
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
+	standin "vanillalock.example/vanillalock/internal/standin/fleet"
+	"vanillalock.example/vanillalock/internal/wire/pb"
+)
+
+// contactFixture is a leader with sessions, as of a time that the test sets.
+type contactFixture struct {
+	*Leader
+	t    *testing.T
+	slow *slowStore
+	now  time.Time
+}
+
+// newContactFixture returns a leader that grants leases by the agents with the given
+// addresses, which are also the names of their VMs.
+func newContactFixture(t *testing.T, addresses ...string) *contactFixture {
+	slow := &slowStore{}
+	l := newLoadingLeader(t, slow, 0)
+	l.contacts = newContacts([]quorum.Set{quorum.New(addresses)}, l.began, l.term)
+	f := &contactFixture{l, t, slow, l.began.Add(time.Second)}
+	l.lastMaintenance = f.now
+	for _, address := range addresses {
+		f.session(address)
+	}
+	return f
+}
+
+// session begins a session with an agent.
+func (f *contactFixture) session(address string) {
+	if f.links[address] == nil {
+		f.ledger.AddNode(address)
+		f.links[address] = newNodeLink(address)
+	}
+	n := f.links[address]
+	n.connected, n.cancel, n.lastReport = true, func() {}, 0
+	n.contact.Begin(address, f.now)
+}
+
+// report handles the first report of a session.
+func (f *contactFixture) report(address string, process uint64, earlier time.Duration) {
+	f.handleReport(f.links[address], address, link.Report(1, ledger.Report{}, 0, link.Introduction{Process: process, EarlierLeader: earlier}).GetNodeReport())
+}
+
+// lease returns the lease that the VM is granted at a time.
+func (f *contactFixture) lease(vm string, now time.Time) time.Duration {
+	f.contacts.computedAt = time.Time{}
+	n := f.links[vm]
+	n.pendingReport = 1
+	return f.grant(f.ledger.Nodes[vm], n, now)
+}
+
+// Guards against a leader that is cut off with a few VMs and grants leases which the next
+// leader takes for expired.
+func TestLeaderGrantsLeasesOnlyInContactWithAMajority(t *testing.T) {
+	f := newContactFixture(t, "a", "b", "c")
+	f.report("a", 1, 0)
+	f.confirm(time.Now())
+	require.Zero(t, f.lease("a", f.now), "one of three")
+	f.report("b", 2, 0)
+	require.Zero(t, f.lease("a", f.now), "the other one may have followed a later leader since the store confirmed the term")
+	f.confirm(time.Now())
+	require.Equal(t, executorLease, f.lease("a", f.now))
+	require.Less(t, f.lease("a", f.now.Add(time.Second)), executorLease)
+	last := f.now
+	require.False(t, f.ledger.Nodes["a"].LeaseUntil.After(last.Add(maxLeaseDuration(contactGrace))))
+	require.Zero(t, f.lease("a", f.now.Add(contactGrace)))
+
+	f.wallOffset = func(now time.Time) time.Duration {
+		if now.After(last) {
+			return contactGrace
+		}
+		return 0
+	}
+	require.Zero(t, f.lease("a", f.now.Add(time.Millisecond)), "the VM was suspended")
+}
+
+// Guards against an agent that was started anew, and has forgotten that it followed a later
+// leader, but counts for the majority of an earlier one.
+func TestAgentStartedAnewCountsOnceTheTermIsConfirmed(t *testing.T) {
+	f := newContactFixture(t, "a", "b", "c")
+	f.report("a", 1, 0)
+	f.report("b", 2, 0)
+	f.confirm(time.Now())
+	f.now = f.now.Add(3 * time.Second)
+	f.session("a")
+	f.report("a", 1, 0)
+	f.session("b")
+	f.report("b", 3, 0)
+	require.Less(t, f.lease("a", f.now), 2*time.Second, "another process")
+	f.session("b")
+	f.report("b", 2, 0)
+	require.Equal(t, executorLease, f.lease("a", f.now), "the process that followed this leader before")
+}
+
+// Guards against a wait of 10 s for a VM that is silent although the agents show that no
+// earlier leader can have extended its lease, and against a bound by too few of them.
+func TestAgentsBoundTheLeasesOfEarlierLeaders(t *testing.T) {
+	f := newContactFixture(t)
+	longest := maxLeaseDuration(handoverMaxLease)
+	reset := func(sets ...quorum.Set) {
+		f.predecessor = predecessor{maxLease: longest, quorums: sets}
+		f.ledger = ledger.New(ledger.Options{Takeover: f.began, MaxLease: longest, Log: func(ledger.Event) {}})
+		f.contacts.heard = map[string]time.Time{}
+	}
+	hear := func(address string, ago time.Duration) {
+		f.hearOfEarlierLeaders(address, &pb.NodeReport{Process: 1, EarlierLeaderMs: uint64(ago.Milliseconds())}, f.began)
+		f.surveyEarlierLeaders()
+	}
+	abc := quorum.New([]string{"a", "b", "c"})
+	reset(abc)
+	hear("a", 2*time.Second)
+	hear("other", 2*time.Second)
+	require.Equal(t, longest, f.predecessor.maxLease, "one of three")
+	hear("b", time.Second)
+	require.Equal(t, maxLeaseDuration(contactGrace)-time.Second, f.predecessor.maxLease)
+	require.Equal(t, f.began.Add(f.predecessor.maxLease), f.ledger.EarlierLeasesEnd())
+	hear("c", 2*time.Second)
+	require.Equal(t, maxLeaseDuration(contactGrace)-2*time.Second, f.predecessor.maxLease)
+	hear("a", 0)
+	require.Equal(t, f.began.Add(f.predecessor.maxLease), f.ledger.EarlierLeasesEnd(), "started anew since")
+
+	reset(abc, quorum.New([]string{"d"}))
+	hear("a", 2*time.Second)
+	hear("b", 2*time.Second)
+	require.Equal(t, longest, f.predecessor.maxLease, "leases by another set may last")
+	reset()
+	hear("a", 2*time.Second)
+	require.Equal(t, longest, f.predecessor.maxLease, "leases may have been granted without")
+}
+
+// Guards against a set of agents by which leases are granted before it is stored, or whose
+// record a late change replaces.
+func TestSetOfAgentsIsUsedOnceItIsStored(t *testing.T) {
+	f := newContactFixture(t, "a", "b", "c")
+	f.exclusiveSince = 1
+	store := f.slow.Store.(*standin.Store)
+	quorums := func() (sets []quorum.Set) {
+		item, err := store.Get(t.Context(), fleet.TermKey)
+		require.NoError(t, err)
+		var record link.TermRecord
+		require.NoError(t, json.Unmarshal(item.Value, &record))
+		return record.Quorums
+	}
+	f.report("a", 1, 0)
+	f.confirm(time.Now())
+	f.maintainRecord(t.Context(), f.now)
+	f.handle(<-f.events)
+	abc, onlyA := quorum.New([]string{"a", "b", "c"}), quorum.New([]string{"a"})
+	require.Equal(t, []quorum.Set{abc}, quorums())
+
+	store.SetFaults(standin.StoreFaults{LoseAnswers: 1})
+	f.now = f.now.Add(contactLostFor)
+	f.maintainRecord(t.Context(), f.now)
+	f.handle(<-f.events)
+	require.Equal(t, []quorum.Set{onlyA, abc}, quorums())
+	require.Equal(t, abc, f.contacts.sets.Current(), "it is not known that the record is stored")
+	stale := f.contacts.revision
+	for range 2 { // the first one finds the change
+		f.contacts.retryAfter = time.Time{}
+		f.maintainRecord(t.Context(), f.now)
+		f.handle(<-f.events)
+	}
+	require.NotEqual(t, stale, f.contacts.revision)
+	require.Equal(t, onlyA, f.contacts.sets.Current())
+	require.Equal(t, []quorum.Set{onlyA, abc}, quorums(), "leases by the earlier set may last")
+	f.now = f.now.Add(maxLeaseDuration(contactGrace) + time.Second)
+	f.session("a")
+	f.report("a", 1, 0)
+	f.maintainRecord(t.Context(), f.now)
+	f.handle(<-f.events)
+	require.Equal(t, []quorum.Set{onlyA}, quorums())
+}
--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -102,7 +102,8 @@
 	}
 	ended, endKnown := e.endOfLastLeader(ctx, last)
 	asked := time.Now()
-	record, err := e.opts.termRecord(false)
+	quorums := e.earlierQuorums(last)
+	record, err := e.opts.termRecord(false, quorums)
 	if err != nil {
 		return err
 	}
@@ -123,7 +124,9 @@
 		}
 		return fmt.Errorf("write the leader's key: %w", err)
 	}
-	leader := newLeader(e.opts, term, lease, sent, e.predecessor(last.handover, term, ended+time.Since(asked), endKnown))
+	before := e.predecessor(last.handover, term, ended+time.Since(asked), endKnown)
+	before.quorums = quorums
+	leader := newLeader(e.opts, term, lease, sent, before)
 	e.setLeader(link.LeaderRecord{Node: e.opts.Node, Address: e.opts.Advertise}, term)
 	e.localLeader.Store(leader)
 	err = leader.run(ctx)
--- a/internal/fleet/lead/fit_test.go
+++ b/internal/fleet/lead/fit_test.go
@@ -99,7 +99,7 @@
 		number := uint64(0)
 		report := func(e fleet.Executor) {
 			number++
-			l.handleReport(session, "vm", link.Report(number, ledger.Report{Executor: &e}).GetNodeReport())
+			l.handleReport(session, "vm", link.Report(number, ledger.Report{Executor: &e}, 0, link.Introduction{}).GetNodeReport())
 		}
 		refuses := func() bool {
 			l.verifiedAt = time.Now()
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -85,7 +85,7 @@
 		return next.predecessor(last.handover, 9, ended, known)
 	}
 	begin := func(e *Entry, alone bool) {
-		writes, err := e.opts.termRecord(alone)
+		writes, err := e.opts.termRecord(alone, nil)
 		require.NoError(t, err)
 		_, err = store.Commit(ctx, fleet.Txn{Put: writes})
 		require.NoError(t, err)
@@ -124,7 +124,7 @@
 	}{{handoverMaxLease, 0, false}, {handoverMaxLease / 2, 7, false}, {handoverMaxLease + time.Second, 0, false}, {handoverMaxLease + time.Second, 7, true}} {
 		l.exclusiveSince = c.exclusive
 		require.Equal(t, c.want, l.isAlone(l.began.Add(c.age)), "%+v", c)
-		l.recordAlone(t.Context(), l.began.Add(c.age))
+		l.maintainRecord(t.Context(), l.began.Add(c.age))
 	}
 	l.handle(<-l.events)
 	require.True(t, l.alone)
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -110,6 +110,7 @@
 	began       time.Time
 	predecessor predecessor
 	alone       bool // it is recorded that no lease of an earlier leader lasts
+	contacts    contacts
 
 	loaded          chan struct{} // closed once the state is read from the store
 	commits         int           // in flight
@@ -148,6 +149,7 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
+	l.contacts = newContacts(before.quorums, l.began, term)
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
 	l.planner.waits = newWaits(o.Log, o.Metrics)
@@ -242,7 +244,7 @@
 	for _, n := range l.ledger.Nodes {
 		left = max(left, n.LeaseEnd().Sub(now))
 	}
-	return link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0}
+	return link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0, Quorums: l.contacts.sets.All()}
 }
 
 // drainEvents handles all queued events, so that they share one plan and one commit.
@@ -325,6 +327,9 @@
 func (l *Leader) confirm(sent time.Time) {
 	if sent.After(l.verifiedAt) {
 		l.verifiedAt, l.offsetThen = sent, l.wallOffset(sent)
+		for _, n := range l.links {
+			n.contact.Confirm(sent)
+		}
 		l.releaseStarts(sent)
 	}
 }
@@ -378,6 +383,7 @@
 // time.
 func (l *Leader) tick(ctx context.Context) {
 	now := time.Now()
+	l.surveyEarlierLeaders()
 	if l.ledger.Tick(now, l.verifiedAt) {
 		l.verifySoon()
 	}
@@ -385,37 +391,15 @@
 	if l.checkTerm(now); l.deposed != nil {
 		return
 	}
+	l.maintainRecord(ctx, now)
 	if now.Sub(l.lastMaintenance) > maintenanceInterval {
 		l.lastMaintenance = now
-		l.recordAlone(ctx, now)
 		l.forget(l.opts.StatusKept+l.opts.MaxLease, now)
 		l.removeUnreachable(ctx, now)
 		l.storeLearned(ctx)
 	}
 }
 
-// recordAlone records once that the leases of all earlier leaders have expired. If this
-// leader ends without a handover record, the next one then need not wait for them.
-func (l *Leader) recordAlone(ctx context.Context, now time.Time) {
-	if l.alone || !l.isAlone(now) {
-		return
-	}
-	writes, err := l.opts.termRecord(true)
-	if err != nil {
-		l.opts.Log.Error("Term not recorded as alone.", "err", err)
-		return
-	}
-	txn := l.txn()
-	txn.Put = writes
-	go func() {
-		if _, err := l.opts.Store.Commit(ctx, txn); err == nil {
-			l.post(ctx, func() { l.alone = true })
-		} else if ctx.Err() == nil {
-			l.opts.Log.Warn("Term not recorded as alone, trying again.", "err", err)
-		}
-	}()
-}
-
 // isAlone reports whether no earlier leader orders starts any more and all leases of
 // theirs have expired.
 func (l *Leader) isAlone(now time.Time) bool {
@@ -437,7 +421,7 @@
 	}
 	now := time.Now()
 	takeOrders := (*ledger.Node).TakeOrders
-	known := l.knowsEvacuations(now)
+	known := l.knowsEvacuations(now) && l.contactLeft(now) > 0
 	if !known {
 		takeOrders = (*ledger.Node).TakeOrdersWithoutStarts
 	}
@@ -466,13 +450,13 @@
 	if link.pendingReport == 0 {
 		return 0
 	}
-	confirmed := time.Duration(float64(l.opts.termGrace()-l.unconfirmed(now)) * fleet.ClockRate)
-	ttl := min(executorLease, l.opts.MaxLease, confirmed)
+	left := min(l.opts.termGrace()-l.unconfirmed(now), l.contactLeft(now))
+	ttl := min(executorLease, l.opts.MaxLease, time.Duration(float64(left)*fleet.ClockRate))
 	if ttl <= 0 {
 		return 0
 	}
 	link.grantedAt = now
-	n.LeaseUntil = maxTime(n.LeaseUntil, now.Add(maxLeaseDuration(ttl)))
+	n.Granted(now.Add(maxLeaseDuration(ttl)))
 	return ttl
 }
 
--- a/internal/fleet/lead/load_test.go
+++ b/internal/fleet/lead/load_test.go
@@ -47,7 +47,7 @@
 		require.NoError(t, err)
 	}
 	s.Store = backend
-	term, err := backend.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.LeaderKey}}})
+	term, err := backend.Commit(context.Background(), fleet.Txn{Put: []fleet.Write{{Key: fleet.LeaderKey}, {Key: fleet.TermKey}, {Key: fleet.HandoverKey}}})
 	require.NoError(t, err)
 	store := &relayStore{Store: s, relay: func(context.Context, storeCall) (storeReply, error) {
 		return storeReply{}, kv.ErrUncertain
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -12,6 +12,7 @@
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
 	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
 	"vanillalock.example/vanillalock/internal/kv"
 	"vanillalock.example/vanillalock/internal/wire"
 	"vanillalock.example/vanillalock/internal/wire/pb"
@@ -38,7 +39,8 @@
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
 	grantedAt     time.Time          // when the latest lease was granted
 	specs         *link.Specs        // that the agent keeps; nil: none
-	held          []heldReport       // of the session, until the store has confirmed the term
+	contact       quorum.Contact
+	held          []heldReport // of the session, until the store has confirmed the term
 }
 
 // heldReport is a report that waits to be applied.
@@ -77,6 +79,9 @@
 func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
 	for _, part := range link.SplitOrders(o) {
 		frame := link.Orders(part, n.pendingReport, lease, n.specs)
+		if n.pendingReport != 0 {
+			n.contact.Answer(n.pendingReport, time.Now())
+		}
 		n.pendingReport, lease = 0, 0
 		m.OrderBytes.Add(int64(proto.Size(frame)))
 		select {
@@ -107,7 +112,8 @@
 func (n *nodeLink) session(termCtx context.Context, l *Leader, name string) {
 	ctx, cancel := context.WithCancel(termCtx)
 	defer cancel()
-	session, err := wire.Dial(ctx, *n.address.Load(), wire.Config{})
+	address := *n.address.Load()
+	session, err := wire.Dial(ctx, address, wire.Config{})
 	if err != nil {
 		return
 	}
@@ -116,6 +122,7 @@
 	if err != nil {
 		return
 	}
+	sent := time.Now()
 	if err := stream.Send(&pb.Frame{Body: &pb.Frame_Lead{Lead: &pb.Lead{Term: l.term, Leader: l.opts.Node}}}); err != nil {
 		return
 	}
@@ -139,6 +146,7 @@
 			return
 		}
 		n.connected, n.outbox, n.cancel, n.lastReport, n.pendingReport, n.specs, n.grantedAt, n.held = true, outbox, cancel, 0, 0, nil, time.Time{}, nil
+		n.contact.Begin(address, sent)
 		l.holdStarts(name, time.Now())
 	}) {
 		return
@@ -226,6 +234,13 @@
 		n.cancel() // the agent reports its ends again in the next session
 		return
 	}
+	now := time.Now()
+	if n.lastReport == 0 {
+		n.contact.Introduce(m.GetProcess(), now)
+		l.hearOfEarlierLeaders(n.contact.Address(), m, now)
+		l.verifySoon() // a confirmation from now on counts for the contact
+	}
+	n.contact.Received(m.GetAnswered())
 	n.lastReport = m.GetNumber()
 	if m.GetKeepsSpecs() && n.specs == nil {
 		n.specs = link.NewSpecs()
@@ -234,7 +249,7 @@
 		n.hold(heldReport{m.GetNumber(), report})
 		return
 	}
-	l.applyReport(n, node, m.GetNumber(), report, time.Now())
+	l.applyReport(n, node, m.GetNumber(), report, now)
 }
 
 // maxHeldReports bounds the reports of a session that wait. Agents send a few a second, and
--- a/internal/fleet/lead/nodes_test.go
+++ b/internal/fleet/lead/nodes_test.go
@@ -102,7 +102,7 @@
 	report := func(number, end uint64) {
 		e := fleet.End{Number: end, Task: fleet.TaskID{Job: "job", Index: int(end)}, Run: 1, Reason: fleet.EndDone}
 		r := ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true, Ended: []fleet.End{e}}
-		l.handleReport(session, "vm", link.Report(number, r).GetNodeReport())
+		l.handleReport(session, "vm", link.Report(number, r, 0, link.Introduction{}).GetNodeReport())
 	}
 	l.ledger.AddJob(fleet.Job{ID: "job", Steps: []fleet.Step{{Count: 9}}}, false, time.Now())
 	report(7, 1)
@@ -132,7 +132,7 @@
 	report := func(number, end uint64) *pb.NodeReport {
 		e := fleet.End{Number: end, Task: fleet.TaskID{Job: "job", Index: int(end)}, Run: 1, Reason: fleet.EndDone}
 		r := ledger.Report{Executor: &fleet.Executor{Instance: "vm"}, Listed: true, Ended: []fleet.End{e}}
-		return link.Report(number, r).GetNodeReport()
+		return link.Report(number, r, 0, link.Introduction{}).GetNodeReport()
 	}
 	l.handleReport(session, "vm", report(7, 1))
 	unreadable := report(8, 2)
@@ -157,7 +157,7 @@
 	report := func(instance string, running ...fleet.Running) {
 		number++
 		r := ledger.Report{Executor: &fleet.Executor{Instance: instance}, Listed: true, Running: running}
-		l.handleReport(session, "vm", link.Report(number, r).GetNodeReport())
+		l.handleReport(session, "vm", link.Report(number, r, 0, link.Introduction{}).GetNodeReport())
 	}
 	run := fleet.Running{Task: fleet.TaskID{Job: "0000000000000000"}, Run: 1}
 	report("vm@1", run)
--- a/internal/fleet/lead/predecessor.go
+++ b/internal/fleet/lead/predecessor.go
@@ -8,6 +8,7 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
@@ -23,6 +24,9 @@
 type predecessor struct {
 	maxLease       time.Duration // longest time that their leases may still last
 	exclusiveSince uint64        // store revision from which on none of them orders starts; 0: not known
+	// quorums are the sets of agents by which their leases that may last were granted. Empty:
+	// some were granted without.
+	quorums []quorum.Set
 }
 
 // lastTerm is what the store holds of the last term.
@@ -95,6 +99,26 @@
 	return &pb.FleetReply{Data: raw}, nil
 }
 
+// earlierQuorums returns the sets of agents by which leases that may last were granted, or
+// nil if some were granted without.
+func (e *Entry) earlierQuorums(last lastTerm) []quorum.Set {
+	if last.handover.Revision == 0 {
+		return nil
+	}
+	var handover *link.Handover
+	if err := json.Unmarshal(last.handover.Value, &handover); err != nil {
+		return nil // predecessor logs it
+	}
+	if handover != nil {
+		return handover.Quorums
+	}
+	var term link.TermRecord
+	if last.term.Revision != last.handover.Revision || json.Unmarshal(last.term.Value, &term) != nil {
+		return nil
+	}
+	return term.Quorums
+}
+
 // predecessor returns the bounds that the handover record states, else those that follow
 // from the end of the last leader if it is known, else the safe ones.
 func (e *Entry) predecessor(handover fleet.Item, term uint64, ended time.Duration, endKnown bool) predecessor {
@@ -122,8 +146,8 @@
 
 // termRecord returns the writes that a term begins with, or changes its record by. Both
 // keys get one revision, which shows that they are of one term.
-func (o Options) termRecord(alone bool) ([]fleet.Write, error) {
-	value, err := json.Marshal(link.TermRecord{Address: o.Advertise, Alone: alone})
+func (o Options) termRecord(alone bool, quorums []quorum.Set) ([]fleet.Write, error) {
+	value, err := json.Marshal(link.TermRecord{Address: o.Advertise, Alone: alone, Quorums: quorums})
 	if err != nil {
 		return nil, fmt.Errorf("encode the record of the term: %w", err)
 	}
--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
 )
 
 // The model of several leaders plays the rules of packages lead and side by which terms are
@@ -23,20 +24,22 @@
 
 // Times as in packages lead and side.
 const (
-	termsStartGrace  = 5 * time.Second
-	termsGrantGrace  = 10 * time.Second
-	termsLease       = 4 * time.Second
-	termsLeaseMargin = 150 * time.Millisecond
-	termsHoldMax     = 10 * time.Second // longest lease that an executor accepts
-	termsExpiry      = 100 * time.Millisecond
-	termsInherit     = 10 * time.Second
-	termsListedEnds  = 2 // ends that an executor lists at a time
-	termsLeaders     = 3 // at a time
-	termsJobs        = 3
-	termsCalls       = 30  // in flight at a time
-	termsCycles      = 150 // within which everything is done once all faults have ended
-	termsRenewal     = 710 * time.Millisecond
-	termsCycle       = 150 * time.Millisecond
+	termsStartGrace   = 5 * time.Second
+	termsGrantGrace   = 10 * time.Second
+	termsLease        = 4 * time.Second
+	termsLeaseMargin  = 150 * time.Millisecond
+	termsHoldMax      = 10 * time.Second // longest lease that an executor accepts
+	termsExpiry       = 100 * time.Millisecond
+	termsInherit      = 10 * time.Second
+	termsListedEnds   = 2 // ends that an executor lists at a time
+	termsLeaders      = 3 // at a time
+	termsJobs         = 3
+	termsCalls        = 30  // in flight at a time
+	termsCycles       = 150 // within which everything is done once all faults have ended
+	termsContactGrace = 4500 * time.Millisecond
+	termsStaleContact = time.Second
+	termsRenewal      = 710 * time.Millisecond
+	termsCycle        = 150 * time.Millisecond
 )
 
 // Faults that were mended, to be switched on by hand.
@@ -55,14 +58,22 @@
 	faultGrantNotCounted = false // the leader does not count its last grant
 )
 
-// Faults of the rules on tasks that are located, to be switched on by hand.
+// Faults of the rules on contact with agents and on tasks that are located, to be switched on
+// by hand.
 const (
+	faultContactUnconfirmed  = false // an agent that was started anew counts for the contact
+	faultRestartedHeardNone  = false // an agent that was started anew says that it has heard from no leader
+	faultFewerAgents         = false // one agent less bounds the leases of earlier leaders
+	faultSetNotStored        = false // leases are granted by a set before it is stored
+	faultSetForgotten        = false // a replaced set is dropped at once
 	faultReplacedUnconfirmed = false // a new instance counts in a session without a confirmation of the term
 	faultLocatedByItsEnd     = false // a listed end shows that no earlier leader has started the task again
+	faultStartsOutOfContact  = false // starts need no contact
 )
 
-// modelLocated counts the starts of located tasks before their takeover was settled.
-var modelLocated int
+// modelBounded counts the takeovers that were settled before leases had to have ended without
+// the word of agents, modelLocated the starts of located tasks before their takeover was settled.
+var modelBounded, modelLocated int
 
 // modelExpired counts the orders that have ended by their deadline in all explorations, and
 // modelCounted the runs that were closed by the leader's count during a session.
@@ -92,6 +103,12 @@
 	askedOK   bool
 	sessions  map[string]*termsSession
 	held      map[string]time.Time
+	longest   time.Duration // maxLease without the word of agents
+	earlier   []quorum.Set
+	sets      quorum.Sets
+	contacts  map[string]*quorum.Contact
+	heard     map[string]time.Time
+	exclusive bool // no earlier leader orders starts
 }
 
 // termsSession is a session of a leader with an agent.
@@ -103,12 +120,18 @@
 	reports []termsReport // on their way to the leader
 	frames  []termsFrame  // on their way to the agent
 	answer  *termsReport  // latest report to be answered by a lease
+	// answered is the latest report whose answer the agent has received.
+	introduced, read bool // the first report was sent, and was read
+	answered         uint64
 }
 
 type termsReport struct {
 	Report
 	clock time.Duration // of the executor, when the report was sent
 	life  int           // of the agent's knowledge of leases
+
+	number, answered, process uint64
+	earlierHeard              time.Time // only in the first report of a session, as process
 }
 
 type termsFrame struct {
@@ -137,34 +160,70 @@
 	leaveSaid  bool
 	draining   bool
 	gone       bool
+	// Of the process, its last report, and when it last heard from a leader, and from one
+	// before that.
+	process, reported       uint64
+	heardAt, earlierHeardAt time.Time
 }
 
 type termsModel struct {
 	*modelVMs
-	agents  []*termsAgent
-	leaders []*termsLeader // the last one has the highest term
-	jobs    []fleet.Job
-	stored  map[string][]byte
-	calm    bool // no faults any more
+	agents    []*termsAgent
+	leaders   []*termsLeader // the last one has the highest term
+	jobs      []fleet.Job
+	stored    map[string][]byte
+	quorums   []quorum.Set // of the record of the latest term
+	processes uint64       // of agents, started until now
+	calm      bool         // no faults any more
 }
 
 func newTermsModel(t *rapid.T, vms int) *termsModel {
 	m := &termsModel{modelVMs: newModelVMs(t, vms), stored: map[string][]byte{}, jobs: []fleet.Job{modelJob("job")}}
 	for _, x := range m.executors {
-		m.agents = append(m.agents, &termsAgent{x: x, unanswered: map[RunRef]time.Duration{}})
+		m.agents = append(m.agents, m.newAgent(x))
+	}
+	if rapid.IntRange(0, 3).Draw(t, "quorums") > 0 { // no leader was before
+		m.quorums = []quorum.Set{quorum.New(m.addresses())}
 	}
 	m.elect(termsLongest(termsGrantGrace))
 	return m
 }
 
+// newAgent returns an agent whose process has just been started.
+func (m *termsModel) newAgent(x *modelExecutor) *termsAgent {
+	m.processes++
+	a := &termsAgent{x: x, unanswered: map[RunRef]time.Duration{}, process: m.processes, heardAt: m.now, earlierHeardAt: m.now}
+	if faultRestartedHeardNone {
+		a.earlierHeardAt = a.earlierHeardAt.Add(-time.Hour)
+	}
+	return a
+}
+
+// addresses returns the addresses of the agents, which are the names of the executors.
+func (m *termsModel) addresses() []string {
+	var addresses []string
+	for _, x := range m.executors {
+		addresses = append(addresses, x.name)
+	}
+	return addresses
+}
+
 // elect begins a term, whose leader knows only what is stored.
 func (m *termsModel) elect(maxLease time.Duration) {
-	l := &termsLeader{term: 1, began: m.now, confirmed: m.now, maxLease: maxLease, sessions: map[string]*termsSession{}, held: map[string]time.Time{}}
+	l := &termsLeader{term: 1, began: m.now, confirmed: m.now, maxLease: maxLease, sessions: map[string]*termsSession{}, held: map[string]time.Time{}, longest: maxLease, earlier: m.quorums, sets: quorum.Inherit(m.quorums, m.now), contacts: map[string]*quorum.Contact{}, heard: map[string]time.Time{}}
 	if n := len(m.leaders); n > 0 {
 		l.term = m.leaders[n-1].term + 1
 	}
 	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
 		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
+		if e.What == "settled" && m.now.Sub(l.began) <= l.longest {
+			for _, n := range l.ledger.Nodes {
+				if !n.complete && !n.lapsed {
+					modelBounded++
+					break
+				}
+			}
+		}
 		if s := l.sessions[e.Node]; e.Reason == leaseCounted.String() && s != nil && !s.left {
 			modelCounted++
 		}
@@ -172,6 +231,7 @@
 	m.tracef("term %d begins", l.term)
 	for _, x := range m.executors {
 		l.ledger.AddNode(x.name)
+		l.contacts[x.name] = &quorum.Contact{}
 	}
 	for _, job := range m.jobs {
 		l.ledger.AddJob(job, true, m.now)
@@ -199,6 +259,7 @@
 		return
 	}
 	left := min(termsLongest(termsGrantGrace), max(termsLongest(termsLease), last.maxLease-m.now.Sub(last.began)))
+	m.quorums = last.sets.All()
 	m.elect(left)
 	m.endTerm(last)
 }
@@ -247,6 +308,7 @@
 		return
 	}
 	l.confirmed = sent
+	l.exclusive = l.exclusive || sent.Sub(l.began) > termsStartGrace
 	m.tracef("term %d confirmed as of %v", l.term, sent.Sub(start))
 	for name, began := range l.held {
 		if sent.After(began) {
@@ -274,13 +336,17 @@
 	l.sessions[name] = s
 	l.ledger.HoldStarts(l.ledger.Nodes[name])
 	l.held[name] = m.now
+	l.contacts[name].Begin(name, m.now)
 	if a.session != nil {
 		a.loseSession()
 	}
 	if l.term > a.term {
 		clear(a.unanswered)
+		if !faultRestartedHeardNone || a.term > 0 {
+			a.earlierHeardAt = a.heardAt
+		}
 	}
-	a.term, a.session = l.term, s
+	a.term, a.session, a.heardAt = l.term, s, m.now
 	a.life++
 	m.report(a, Report{})
 }
@@ -312,7 +378,9 @@
 	}
 	a.cancelOrders()
 	m.tracef("agent of %s starts anew", a.x.name)
-	*a = termsAgent{x: a.x, unanswered: map[RunRef]time.Duration{}, life: a.life + 1}
+	life := a.life + 1
+	*a = *m.newAgent(a.x)
+	a.life = life
 }
 
 // adopt confirms the announced instance and makes it the known one. A restarted agent cannot
@@ -377,7 +445,13 @@
 		r.Lapsed = a.lapsed
 	}
 	earliest := a.reading + time.Duration(fleet.ClockRate*float64(m.now.Sub(a.readAt)))
-	a.session.reports = append(a.session.reports, termsReport{r, earliest, a.life})
+	a.reported++
+	report := termsReport{Report: r, clock: earliest, life: a.life, number: a.reported, answered: a.session.answered}
+	if !a.session.introduced {
+		a.session.introduced = true
+		report.process, report.earlierHeard = a.process, a.earlierHeardAt
+	}
+	a.session.reports = append(a.session.reports, report)
 }
 
 // clock returns what the clock of an executor shows.
@@ -517,6 +591,7 @@
 	s := a.session
 	f := s.frames[0]
 	s.frames = s.frames[1:]
+	s.answered, a.heardAt = max(s.answered, f.answer.number), m.now
 	if !a.known || a.foreign || f.Instance != a.x.instanceOfAgent() {
 		return
 	}
@@ -640,12 +715,24 @@
 
 // read has a leader read a report, and reports whether there was one that it may read.
 func (m *termsModel) read(l *termsLeader, a *termsAgent) bool {
-	s := l.sessions[a.x.name]
+	name := a.x.name
+	s := l.sessions[name]
 	if s == nil || len(s.reports) == 0 {
 		return false
 	}
 	r := s.reports[0]
-	if n := l.ledger.Nodes[a.x.name]; n.StartsHeld() && n.Replaces(r.Report) && !faultReplacedUnconfirmed {
+	if !s.read {
+		s.read = true
+		l.contacts[name].Introduce(r.process, m.now)
+		if _, known := l.heard[name]; !known {
+			l.heard[name] = r.earlierHeard
+		}
+	}
+	if faultContactUnconfirmed {
+		l.contacts[name].Confirm(m.now.Add(time.Nanosecond))
+	}
+	l.contacts[name].Received(r.answered)
+	if n := l.ledger.Nodes[name]; n.StartsHeld() && n.Replaces(r.Report) && !faultReplacedUnconfirmed {
 		return false // later reports wait, too
 	}
 	s.reports = s.reports[1:]
@@ -664,13 +751,92 @@
 	return true
 }
 
+// contactLeft returns for how long a leader may grant leases by its contact with agents.
+func (m *termsModel) contactLeft(l *termsLeader) time.Duration {
+	if l.sets.Current() == nil {
+		return termsGrantGrace
+	}
+	received := map[string]time.Time{}
+	for name, c := range l.contacts {
+		if c.Confirm(l.confirmed); !c.At().IsZero() {
+			received[name] = c.At()
+		}
+	}
+	contact, ok := l.sets.Current().Contact(received)
+	if !ok {
+		return 0
+	}
+	return termsContactGrace - m.now.Sub(contact)
+}
+
+// survey bounds the leases of earlier leaders by what agents say.
+func (m *termsModel) survey(l *termsLeader) {
+	if len(l.earlier) == 0 {
+		return
+	}
+	var last time.Time
+	for _, set := range l.earlier {
+		if faultFewerAgents {
+			set = set[:max(1, len(set)-2)]
+		}
+		at, ok := set.LastContact(l.heard)
+		if !ok {
+			return
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	end := last.Add(termsLongest(termsContactGrace))
+	l.maxLease = min(l.maxLease, max(0, end.Sub(l.began)))
+	l.ledger.EndEarlierLeases(end)
+}
+
+// record stores the record of the latest term: without the sets that are not needed any more,
+// or with the agents in contact as the next set, of which the leader may not hear.
+func (m *termsModel) record(l *termsLeader) {
+	if l.cut || l != m.latest() {
+		return
+	}
+	alone := l.exclusive && m.now.Sub(l.began) > l.maxLease
+	if alone {
+		l.sets.Expire(m.now.Add(-termsLongest(termsContactGrace)))
+	}
+	var agents []string
+	m.contactLeft(l)
+	for name, c := range l.contacts {
+		if m.now.Sub(c.At()) <= termsStaleContact {
+			agents = append(agents, name)
+		}
+	}
+	if len(agents) == 0 || !rapid.Bool().Draw(m.t, "next set") {
+		m.quorums = l.sets.All()
+		return
+	}
+	next := quorum.New(agents)
+	m.tracef("term %d grants leases by %v", l.term, next)
+	if !faultSetNotStored {
+		m.quorums = l.sets.AllAfter(next)
+	}
+	if rapid.Bool().Draw(m.t, "set stored") || faultSetNotStored {
+		l.sets.Replace(next, m.now)
+		if faultSetForgotten {
+			l.sets.Expire(m.now.Add(time.Nanosecond))
+			m.quorums = l.sets.All()
+		}
+	}
+}
+
 // dispatch places ready tasks and sends orders and leases.
 func (m *termsModel) dispatch(l *termsLeader) {
+	m.survey(l)
+	contact := m.contactLeft(l)
 	if l.ledger.Tick(m.now, l.confirmed); m.now.Sub(l.confirmed) > termsGrantGrace {
 		m.endTerm(l)
 		return
 	}
-	if m.now.Sub(l.confirmed) < termsStartGrace {
+	mayStart := contact > 0 || faultStartsOutOfContact
+	if mayStart && m.now.Sub(l.confirmed) < termsStartGrace {
 		for _, task := range l.ledger.Ready(m.now) {
 			if n := l.ledger.Nodes[m.pick().name]; n.MayStart() && !n.Executor.Draining && n.Runs[task.ID] == nil {
 				if task.Step.Job.Inherited && !l.ledger.Settled {
@@ -686,17 +852,20 @@
 			continue
 		}
 		f := termsFrame{}
-		f.Orders, _ = n.TakeOrders()
+		if mayStart {
+			f.Orders, _ = n.TakeOrders()
+		} else {
+			f.Orders, _ = n.TakeOrdersWithoutStarts()
+		}
 		// The ledger orders those of several runs in no fixed order.
 		slices.SortStableFunc(f.Starts, func(a, b fleet.StartOrder) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
 		slices.SortStableFunc(f.Stops, func(a, b RunRef) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
 		if s.answer != nil {
-			left := time.Duration(float64(termsGrantGrace-m.now.Sub(l.confirmed)) * fleet.ClockRate)
-			if f.ttl = min(termsLease, left); f.ttl > 0 {
-				f.answer = *s.answer
-				if until := m.now.Add(termsLongest(f.ttl)); until.After(n.LeaseUntil) && !faultGrantNotCounted {
-					n.LeaseUntil = until
-				}
+			left := time.Duration(float64(min(termsGrantGrace-m.now.Sub(l.confirmed), contact)) * fleet.ClockRate)
+			f.answer = *s.answer
+			l.contacts[x.name].Answer(s.answer.number, m.now)
+			if f.ttl = min(termsLease, left); f.ttl > 0 && !faultGrantNotCounted {
+				n.Granted(m.now.Add(termsLongest(f.ttl)))
 			}
 			s.answer = nil
 		}
@@ -965,9 +1134,9 @@
 // leaders lead at a time.
 func TestExploreLeadersBesideEachOther(t *testing.T) {
 	limitChecks(t, termsChecks)
-	modelStarts, modelExpired, modelCounted, modelLocated = 0, 0, 0, 0
+	modelStarts, modelExpired, modelCounted, modelBounded, modelLocated = 0, 0, 0, 0, 0
 	defer func() {
-		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count", modelStarts, modelLocated, modelExpired, modelCounted)
+		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count, %d takeovers bounded", modelStarts, modelLocated, modelExpired, modelCounted, modelBounded)
 		require.Greater(t, modelStarts, minTermsStarts)
 		require.Greater(t, modelExpired, minTermsExpired)
 		require.Greater(t, modelCounted, minTermsCounted)
@@ -985,7 +1154,7 @@
 			{12, func() { m.cycle(m.leader(), m.agent()) }}, {4, func() { m.hold(m.agent()) }}, {4, func() { m.read(m.leader(), m.agent()) }},
 			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent(), true) }},
 			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
-			{4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {2, func() { m.reborn(m.agent()) }}, {2, func() { m.impair(m.agent()) }},
+			{2, func() { m.record(m.latest()) }}, {4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {2, func() { m.reborn(m.agent()) }}, {2, func() { m.impair(m.agent()) }},
 			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
 			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
 			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -75,7 +75,8 @@
 	Current    *Run // nil: it has no run
 	// located is set once a run of the task was listed as running in this term. No earlier
 	// leader has started it again: none had heard of the end of that run when the lists were
-	// made, and none hears of it later in a session in which the term is not confirmed.
+	// made, and none hears of it later in a session in which the
+	// term is not confirmed.
 	located    bool
 	NotBefore  time.Time // earliest next start, after a refusal
 	LastNode   string    // node of the last run
@@ -150,15 +151,16 @@
 
 // Node is a VM with its executor.
 type Node struct {
-	Name       string
-	Executor   fleet.Executor
-	Listed     bool      // lists have come in the present session of the agent
-	ReportedAt time.Time // last report
-	ListedAt   time.Time // last report with lists
-	LeaseUntil time.Time // when the last lease that was granted to the executor has expired
-	domains    []string  // failure domains in which the instance was announced
-	Runs       map[fleet.TaskID]*Run
-	removed    bool // to be deleted once nothing can run there
+	Name         string
+	Executor     fleet.Executor
+	Listed       bool      // lists have come in the present session of the agent
+	ReportedAt   time.Time // last report
+	ListedAt     time.Time // last report with lists
+	LeaseUntil   time.Time // when the last lease that was granted to the executor has expired
+	grantedUntil time.Time // the same for the leases of this leader
+	domains      []string  // failure domains in which the instance was announced
+	Runs         map[fleet.TaskID]*Run
+	removed      bool // to be deleted once nothing can run there
 	// replaced is set once the executor has replaced another instance. foreignLeaseUntil is
 	// when a lease has expired that it may have by the clock of that one.
 	replaced          bool
@@ -195,6 +197,16 @@
 
 func (u unstoredEnd) stored() bool { return u.job != nil && u.job.storedVersion >= u.version }
 
+// Granted records that this leader has granted a lease which has expired at a time.
+func (n *Node) Granted(until time.Time) {
+	if until.After(n.grantedUntil) {
+		n.grantedUntil = until
+	}
+	if until.After(n.LeaseUntil) {
+		n.LeaseUntil = until
+	}
+}
+
 // LeaseEnd returns when every lease of the executor has expired.
 func (n *Node) LeaseEnd() time.Time {
 	if n.foreignLeaseUntil.After(n.LeaseUntil) {
@@ -226,7 +238,8 @@
 	// Until then tasks of inherited jobs are started only if they are located.
 	Settled  bool
 	takeover time.Time
-	maxLease time.Duration
+	// earlierUntil is when the leases of earlier leaders have expired.
+	earlierUntil time.Time
 	// longestLease is as in Options.
 	longestLease time.Duration
 	maxAttempts  func(*Job) int
@@ -262,7 +275,7 @@
 // New returns an empty ledger for a term that starts at o.Takeover.
 func New(o Options) *Ledger {
 	return &Ledger{
-		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, maxLease: o.MaxLease, longestLease: o.LongestLease,
+		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, earlierUntil: o.Takeover.Add(o.MaxLease), longestLease: o.LongestLease,
 		maxAttempts: o.Attempts, log: o.Log, done: o.Done, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 		cancelledEarly: map[string]time.Time{}, early: map[string][]earlyEnd{},
 	}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -52,17 +52,38 @@
 }
 
 // AddNode adds a node unless it is known, and returns it. An earlier leader may
-// have given its executor leases until Options.MaxLease after the takeover.
+// have given its executor leases until EarlierLeasesEnd.
 func (l *Ledger) AddNode(name string) *Node {
 	if n := l.Nodes[name]; n != nil {
 		n.removed = false
 		return n
 	}
-	n := &Node{Name: name, Runs: map[fleet.TaskID]*Run{}, LeaseUntil: l.takeover.Add(l.maxLease)}
+	n := &Node{Name: name, Runs: map[fleet.TaskID]*Run{}, LeaseUntil: l.earlierUntil}
 	l.Nodes[name] = n
 	return n
 }
 
+// EarlierLeasesEnd returns when the leases of earlier leaders have expired.
+func (l *Ledger) EarlierLeasesEnd() time.Time { return l.earlierUntil }
+
+// EndEarlierLeases records that the leases of earlier leaders have expired at a time, which
+// takes effect if that is earlier than what is known.
+func (l *Ledger) EndEarlierLeases(at time.Time) {
+	if !at.Before(l.earlierUntil) {
+		return
+	}
+	for _, n := range l.Nodes {
+		if n.LeaseUntil.Equal(l.earlierUntil) {
+			n.LeaseUntil = at
+		}
+		if n.grantedUntil.After(n.LeaseUntil) {
+			n.LeaseUntil = n.grantedUntil
+		}
+	}
+	l.earlierUntil = at
+	l.log(Event{What: "earlier leases bounded", Reason: fmt.Sprintf("until %v after the takeover", at.Sub(l.takeover).Round(time.Millisecond))})
+}
+
 // RemoveNode removes a node whose registration has gone. If it has runs, or may have runs
 // of earlier terms, it stays until the lease has expired.
 func (l *Ledger) RemoveNode(name string) {
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -9,6 +9,7 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
 	"vanillalock.example/vanillalock/internal/structs"
 	"vanillalock.example/vanillalock/internal/wire"
 	"vanillalock.example/vanillalock/internal/wire/pb"
@@ -48,6 +49,10 @@
 type TermRecord struct {
 	Address string `json:"address"`         // of the entry that leads
 	Alone   bool   `json:"alone,omitempty"` // the leases of all earlier leaders have expired
+	// Quorums are the sets of agents of which each leader whose leases may last was in
+	// contact with a majority when it granted them. The first one is that of this term.
+	// Empty: leases may have been granted without.
+	Quorums []quorum.Set `json:"quorums,omitempty"`
 }
 
 // Leading is the answer to AskLeading.
@@ -77,6 +82,8 @@
 type Handover struct {
 	LeaseMs   int64 `json:"lease_ms"` // upper bound of what is left of leases given by this or earlier leaders
 	Exclusive bool  `json:"alone"`    // no earlier leader gives start orders any more
+	// Quorums is as in TermRecord.
+	Quorums []quorum.Set `json:"quorums,omitempty"`
 }
 
 // Orders returns the frame of orders for an agent. It answers the report with the
@@ -153,9 +160,21 @@
 	return o, nil
 }
 
-// Report returns the frame of an agent's report with the given number.
-func Report(number uint64, r ledger.Report) *pb.Frame {
-	m := &pb.NodeReport{Number: number, Listed: r.Listed, Partial: r.Partial, Lapsed: r.Lapsed, KeepsSpecs: true}
+// Introduction is what the first report of a session states of the agent.
+type Introduction struct {
+	Process uint64 // drawn at the start of the process; 0: an agent of an earlier version
+	// EarlierLeader is how long ago the process received the last frame of an earlier
+	// leader, or was started.
+	EarlierLeader time.Duration
+}
+
+// Report returns the frame of an agent's report with the given number. answered is the
+// latest report of the session that has an answer.
+func Report(number uint64, r ledger.Report, answered uint64, intro Introduction) *pb.Frame {
+	m := &pb.NodeReport{
+		Number: number, Listed: r.Listed, Partial: r.Partial, Lapsed: r.Lapsed, KeepsSpecs: true,
+		Answered: answered, Process: intro.Process, EarlierLeaderMs: uint64(intro.EarlierLeader.Milliseconds()),
+	}
 	if e := r.Executor; e != nil {
 		m.Executor = &pb.Executor{
 			Instance: e.Instance, Pool: e.Pool, FailureDomain: e.FailureDomain, Labels: e.Labels,
--- /dev/null
+++ b/internal/fleet/quorum/sets.go
@@ -0,0 +1,78 @@
+package quorum
+
+import (
+	"slices"
+	"time"
+)
+
+// maxSets bounds the sets in the record of a term, which is read at each election.
+const maxSets = 8
+
+// Sets are the sets by which the leases of a term, and those of earlier ones that may last,
+// were granted. The zero value stands for leases that were granted without.
+type Sets struct {
+	current Set
+	retired []retiredSet
+	bounded bool // no lease of an earlier leader that may last was granted without a set
+}
+
+// retiredSet is a set by which no leases are granted any more. nil: none was used.
+type retiredSet struct {
+	set Set
+	at  time.Time
+}
+
+// Inherit returns the sets of a term that begins after leaders that granted leases by the
+// given sets; none if some were granted without. The first one is used on.
+func Inherit(earlier []Set, began time.Time) Sets {
+	s := Sets{bounded: len(earlier) > 0}
+	if s.bounded {
+		s.current = earlier[0]
+		for _, set := range earlier[1:] {
+			s.retired = append(s.retired, retiredSet{set, began})
+		}
+	}
+	return s
+}
+
+// Current returns the set by which leases are granted, or nil if they are granted without.
+func (s *Sets) Current() Set { return s.current }
+
+// All returns the sets, the current one first, or nil if some leases that may last were
+// granted without one, or by too many.
+func (s *Sets) All() []Set { return s.all(s.retired) }
+
+// AllAfter is as All, once the current set has been replaced.
+func (s *Sets) AllAfter(next Set) []Set {
+	after := Sets{current: next, bounded: s.bounded}
+	return after.all(append(slices.Clone(s.retired), retiredSet{set: s.current}))
+}
+
+func (s *Sets) all(retired []retiredSet) []Set {
+	if !s.bounded || s.current == nil {
+		return nil
+	}
+	sets := []Set{s.current}
+	for _, r := range retired {
+		if r.set == nil || len(sets) == maxSets {
+			return nil
+		}
+		if !slices.ContainsFunc(sets, r.set.Equal) {
+			sets = append(sets, r.set)
+		}
+	}
+	return sets
+}
+
+// Replace replaces the current set. AllAfter has to be stored before.
+func (s *Sets) Replace(next Set, now time.Time) {
+	s.retired = append(s.retired, retiredSet{s.current, now})
+	s.current = next
+}
+
+// Expire drops the sets that were replaced before a time, by which no lease that may last
+// was granted. It is called once no lease of an earlier leader lasts.
+func (s *Sets) Expire(before time.Time) {
+	s.bounded = true
+	s.retired = slices.DeleteFunc(s.retired, func(r retiredSet) bool { return r.at.Before(before) })
+}
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
@@ -75,14 +76,19 @@
 	ackedEnd       uint64    // ends up to this number are stored by the leader
 	lastListedEnd  uint64    // highest number of an end that the executor has listed
 
-	term         uint64
-	session      *session
-	reportNumber uint64                // of the latest report
-	sentReports  map[uint64]sentReport // by report number, for the grants that answer them
-	holdInFlight bool                  // a hold of this generation is in flight
-	holdWaits    bool                  // that hold waits for a run to end
-	unackedDelay time.Duration         // before the next hold while ends are unacknowledged
-	orders       map[ledger.RunRef]*order
+	term    uint64
+	session *session
+	process uint64    // identifies this process to leaders
+	heardAt time.Time // last frame of a leader; before the first one: the start of the process
+	// earlierHeardAt is when the process last heard from a leader with a lower term than
+	// the one that it follows, or was started.
+	earlierHeardAt time.Time
+	reportNumber   uint64                // of the latest report
+	sentReports    map[uint64]sentReport // by report number, for the grants that answer them
+	holdInFlight   bool                  // a hold of this generation is in flight
+	holdWaits      bool                  // that hold waits for a run to end
+	unackedDelay   time.Duration         // before the next hold while ends are unacknowledged
+	orders         map[ledger.RunRef]*order
 	// unanswered holds the starts of the term without a conclusive answer, also those of
 	// earlier sessions, with the last deadline of a call: the executor may carry them out
 	// until then.
@@ -116,6 +122,8 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	lastReceived time.Time
+	answered     uint64 // latest report that the leader has answered
+	introduced   bool   // the leader has been told of the process
 	began        time.Time
 	first        bool // of this process: an earlier one may have called the starts that the leader repeats
 	reported     reportedLists
@@ -126,7 +134,9 @@
 
 // New returns an Agent that does nothing until Run.
 func New(o Options) *Agent {
+	now := time.Now()
 	return &Agent{
+		process: rand.Uint64() | 1, heardAt: now, earlierHeardAt: now, // 0 is no process
 		opts: o, unackedDelay: minUnackedHoldDelay, events: make(chan func(), eventBacklog), sentReports: map[uint64]sentReport{},
 		orders: map[ledger.RunRef]*order{}, unanswered: map[ledger.RunRef]time.Duration{}, candidates: map[string]*candidate{},
 		given: givenRuns{}, paces: map[ledger.RunRef]*paceOrder{},
@@ -351,13 +361,22 @@
 		delete(a.sentReports, a.reportNumber-maxSentReports)
 	}
 	select {
-	case a.session.outbox <- link.Report(a.reportNumber, r):
+	case a.session.outbox <- link.Report(a.reportNumber, r, a.session.answered, a.introduce()):
 	default:
 		a.opts.Log.Warn("Leader does not read its reports, session closed.", "term", a.session.term)
 		a.session.cancel()
 	}
 }
 
+// introduce returns what the next report of the session states of the process.
+func (a *Agent) introduce() link.Introduction {
+	if a.session.introduced {
+		return link.Introduction{}
+	}
+	a.session.introduced = true
+	return link.Introduction{Process: a.process, EarlierLeader: time.Since(a.earlierHeardAt)}
+}
+
 // acceptSessions serves the sessions that leaders open, until ctx ends.
 func (a *Agent) acceptSessions(ctx context.Context) {
 	context.AfterFunc(ctx, func() { _ = a.opts.Listener.Close() })
@@ -436,7 +455,9 @@
 	s.began, s.first = time.Now(), a.term == 0
 	if s.term > a.term {
 		clear(a.unanswered) // the executor refuses calls of earlier terms
+		a.earlierHeardAt = a.heardAt
 	}
+	a.heardAt = s.began
 	a.term, a.session = s.term, s
 	a.nextGeneration()
 	clear(a.sentReports)
@@ -462,6 +483,7 @@
 		return
 	}
 	s.lastReceived = time.Now()
+	s.answered, a.heardAt = max(s.answered, m.GetReport()), s.lastReceived
 	orders, err := link.ReadOrders(m, s.specs)
 	if err != nil {
 		a.opts.Log.Error("Orders not readable, session closed.", "err", err)
--- a/internal/fleet/side/agent_test.go
+++ b/internal/fleet/side/agent_test.go
@@ -332,3 +332,39 @@
 	}
 	start.answer <- fleet.RunLists{}
 }
+
+// Guards against a wait of the next leader that is too short, as an agent states a time before
+// a frame of an earlier leader, or leaves the frames of an earlier process out.
+func TestAgentStatesWhenItHeardFromAnEarlierLeader(t *testing.T) {
+	a := New(Options{Executors: &scriptedExecutor{}, Log: log.New(io.Discard)})
+	started := a.earlierHeardAt
+	report := func(s *session) *pb.NodeReport { return (<-s.outbox).GetNodeReport() }
+	follow := func(term uint64) *session {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &session{term: term, outbox: make(chan *pb.Frame, outboxSize), ctx: ctx, cancel: cancel, specs: link.NewSpecs()}
+		a.follow(s, "entry")
+		return s
+	}
+	first := follow(3)
+	require.Equal(t, started, a.earlierHeardAt, "a process before may have heard from one")
+	require.NotZero(t, report(first).GetProcess())
+	time.Sleep(2 * time.Millisecond)
+	a.handleOrders(first, &pb.Orders{Report: 7})
+	heard := a.heardAt
+	require.True(t, heard.After(started))
+	a.report(ledger.Report{})
+	second := report(first)
+	require.Equal(t, uint64(7), second.GetAnswered())
+	require.Zero(t, second.GetProcess(), "stated once in a session")
+
+	a.sessionLost(first)
+	require.Equal(t, started, a.earlierHeardAt)
+	again := follow(3)
+	require.Equal(t, started, a.earlierHeardAt)
+	a.handleOrders(first, &pb.Orders{Report: 9})
+	require.Zero(t, again.answered, "a frame of the session before")
+	time.Sleep(2 * time.Millisecond)
+	next := follow(5)
+	require.Equal(t, again.began, a.earlierHeardAt)
+	require.Positive(t, report(next).GetEarlierLeaderMs())
+}
