lead: an entry accepts jobs again once the store answers

Cause: calls that began in the outage fail up to 1.4 s after the store answers again and count as two calls without an answer in a row. Submissions are then refused without a call, and an entry that doesn't lead makes no other calls but watches, which say nothing about an outage: nothing ends the state. Change: a call counts only if the store has not answered since it began, and while the store counts as unreachable the entry reads the leader's key each 0.5 s. Evidence: TestCallsOfAnEndedOutageDoNotCloseTheEntry failed before at its first check, and at its second one with the first change only; tests of relays, outages and watches pass.

--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -76,6 +76,7 @@
 	go e.watchConfig(ctx)
 	go e.accept(ctx)
 	go e.maintainPeers(ctx)
+	go e.store.probe(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/fleet/lead/relay.go
+++ b/internal/fleet/lead/relay.go
@@ -42,6 +42,7 @@
 	relayedWatchTimeout = 350 * time.Millisecond
 	relayedWatchWait    = 50 * time.Millisecond
 	relayedWatchPause   = 300 * time.Millisecond // before a relayed watch
+	probeInterval       = 500 * time.Millisecond // between calls that find out whether an outage has ended
 )
 
 // relayStore is a store client that relays calls through another entry while this
@@ -53,6 +54,7 @@
 	avoidDirectUntil atomic.Int64 // end of the time without direct calls, as of sinceStart; 0: the last direct call got an answer
 	failures         atomic.Int64 // consecutive calls that got no answer, direct or relayed
 	downSince        atomic.Int64 // when the first of them ended, as of sinceStart; 0: there is none
+	answeredAt       atomic.Int64 // latest answer of the store, as of sinceStart; 0: there was none
 
 	mu      sync.Mutex
 	watches map[context.Context]context.CancelFunc // direct ones, which wait for changes
@@ -127,18 +129,42 @@
 // call makes a call directly or through another entry, and records whether the store
 // has answered.
 func (r *relayStore) call(ctx context.Context, c storeCall) (storeReply, error) {
+	began := sinceStart()
 	reply, err := r.try(ctx, c)
 	switch {
 	case !isOutage(err):
-		r.failures.Store(0)
-		r.downSince.Store(0)
-	case ctx.Err() == nil:
+		r.answered()
+	case ctx.Err() == nil && !r.answeredSince(began):
 		r.failures.Add(1)
 		r.downSince.CompareAndSwap(0, sinceStart())
 	}
 	return reply, err
 }
 
+// answered records that the store has answered.
+func (r *relayStore) answered() {
+	r.answeredAt.Store(sinceStart())
+	r.failures.Store(0)
+	r.downSince.Store(0)
+}
+
+// answeredSince reports whether the store has answered a call since a time.
+func (r *relayStore) answeredSince(since int64) bool {
+	at := r.answeredAt.Load()
+	return at != 0 && at > since
+}
+
+// probe calls the store while it counts as unreachable, until ctx ends. No submission does,
+// and an entry that does not lead may make no other call but watches.
+func (r *relayStore) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		fleet.Sleep(ctx, probeInterval)
+		if r.isDown() {
+			_, _ = r.Get(ctx, fleet.LeaderKey) // call records whether there is an answer
+		}
+	}
+}
+
 // try makes a call directly unless direct calls are avoided, then through another
 // entry, and at last directly if that was avoided at first.
 func (r *relayStore) try(ctx context.Context, c storeCall) (storeReply, error) {
--- a/internal/fleet/lead/relay_test.go
+++ b/internal/fleet/lead/relay_test.go
@@ -401,3 +401,50 @@
 	wg.Wait()
 	require.Eventually(t, func() bool { return errors.Is(ask(one), kv.ErrNotFound) }, time.Minute, time.Millisecond)
 }
+
+// lateStore is a store whose commits get no answer until they are ended, and which answers
+// all else.
+type lateStore struct {
+	fleet.Store
+	end chan struct{}
+}
+
+func (s *lateStore) Commit(context.Context, fleet.Txn) (uint64, error) {
+	<-s.end
+	return 0, kv.ErrUncertain
+}
+
+func (s *lateStore) Get(context.Context, string) (fleet.Item, error) { return fleet.Item{}, nil }
+
+// Guards against an entry that refuses all jobs for long after an outage, as calls of the outage
+// fail after the store has answered again, and no other call follows.
+func TestCallsOfAnEndedOutageDoNotCloseTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lateStore{end: make(chan struct{})}
+		r := &relayStore{Store: s, relay: func(context.Context, storeCall) (storeReply, error) { return storeReply{}, kv.ErrUncertain }}
+		var calls sync.WaitGroup
+		commit := func() {
+			for range downThreshold {
+				calls.Go(func() { _, _ = r.Commit(t.Context(), fleet.Txn{}) })
+			}
+			time.Sleep(time.Millisecond)
+		}
+		commit()
+		_, err := r.Get(t.Context(), "key")
+		require.NoError(t, err)
+		close(s.end)
+		calls.Wait()
+		require.False(t, r.isDown(), "the store has answered since")
+
+		s.end = make(chan struct{})
+		commit()
+		close(s.end)
+		calls.Wait()
+		require.True(t, r.isDown())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.probe(ctx)
+		time.Sleep(2 * probeInterval)
+		require.False(t, r.isDown(), "nobody else calls the store")
+	})
+}
