lead: keep the set of agents while some of them are slow to report

Cause: the set of agents by which leases are granted followed those in contact in the last second. An agent whose executor is gone reports each 0.8 s and later, so the set changed each 3 s between 9 and 11 of 11 agents, with a write each; a new leader replaced it 0.1 s after its election by the agents that had reported until then. Change: an agent stays in the set while it is connected and its contact is younger than leases are granted for; only if the contact with a majority is lost those of the last second count. The first regular change comes 3 s after the election. The tests of contacts, takeovers and records pass.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -170,7 +170,7 @@
 			if change {
 				c.sets.Replace(next, time.Now())
 				c.computedAt = time.Time{}
-				l.opts.Log.Info("Leases are granted by other agents.", "term", l.term, "agents", len(next), "known", len(state.quorums))
+				l.opts.Log.Info("Agents that bound leases have changed.", "term", l.term, "agents", len(next), "sets", len(state.quorums))
 			}
 		})
 	}()
@@ -204,12 +204,15 @@
 	} else {
 		lost = now.Sub(c.lostSince) >= contactLostFor
 	}
-	due := now.Sub(l.lastMaintenance) > maintenanceInterval
+	due := !l.lastMaintenance.IsZero() && now.Sub(l.lastMaintenance) > maintenanceInterval
 	if !lost && !due {
 		return nil, false
 	}
-	current := c.sets.Current()
-	next, older := l.inContact(now)
+	current, longest := c.sets.Current(), contactGrace
+	if lost {
+		longest = staleContact
+	}
+	next, older := l.inContact(now, longest)
 	switch {
 	case len(next) == 0 && older == 0:
 		return nil, false
@@ -221,15 +224,16 @@
 	return next, next.Changes(current) > len(current)/10
 }
 
-// inContact returns the agents in contact, and the number of connected agents of earlier
-// versions, which don't tell what they have received.
-func (l *Leader) inContact(now time.Time) (current quorum.Set, older int) {
+// inContact returns the connected agents whose latest contact is no older than longest, and
+// the number of those of earlier versions, which don't tell what they have received.
+func (l *Leader) inContact(now time.Time, longest time.Duration) (current quorum.Set, older int) {
 	var addresses []string
 	for _, n := range l.links {
 		switch {
-		case n.connected && n.contact.IsSilent():
+		case !n.connected:
+		case n.contact.IsSilent():
 			older++
-		case now.Sub(n.contact.At()) <= staleContact:
+		case now.Sub(n.contact.At()) <= longest:
 			addresses = append(addresses, n.contact.Address())
 		}
 	}
