quorum: three fifths of the agents, so that two fifths bound earlier leases

Cause: with a majority as the quorum the next leader needs half of the agents to bound the leases of earlier ones, and waits 10.35 s otherwise. Change: a quorum is more than three fifths: a leader still goes on while a failure domain of a third is out of reach, and the next one needs two fifths, 5 of 11.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -11,17 +11,17 @@
 	"vanillalock.example/vanillalock/internal/wire/pb"
 )
 
-// A leader grants leases, and orders starts, only while it is in contact with a majority of
+// A leader grants leases, and orders starts, only while it is in contact with a quorum of
 // the agents of its set, which the record of its term holds. So the next leader learns from
 // the agents when no lease of an earlier one lasts any more, also if that one does not answer.
 
 const (
-	// contactGrace is how long after its last contact with a majority a leader goes on to
+	// contactGrace is how long after its last contact with a quorum a leader goes on to
 	// grant leases. Agents report every 0.3 s, so that most leases have their full length.
 	contactGrace = executorLease + 500*time.Millisecond
 	// staleContact is the age of a contact from which on it counts as lost.
 	staleContact = time.Second
-	// contactLostFor is how long the contact with a majority is lost before the leader turns
+	// contactLostFor is how long the contact with a quorum is lost before the leader turns
 	// to the agents that it can reach. Leases end later.
 	contactLostFor = 400 * time.Millisecond
 	// contactCacheTime bounds how often the contact is computed, which takes time for each VM.
@@ -35,7 +35,7 @@
 	// heard holds, by the address of an agent, when it last heard from an earlier leader.
 	heard map[string]time.Time
 
-	last       time.Time // contact with a majority; zero: none
+	last       time.Time // contact with a quorum; zero: none
 	computedAt time.Time
 	lostSince  time.Time // when the contact was first found lost; zero: it is not
 
@@ -70,7 +70,7 @@
 	return contacts{sets: quorum.Inherit(earlier, began), heard: map[string]time.Time{}, revision: revision, stored: termState{quorums: earlier}}
 }
 
-// contact returns when a frame was last sent to a majority of the set that it is known to
+// contact returns when a frame was last sent to a quorum of the set that it is known to
 // have received. It reports false if there is no such contact.
 func (l *Leader) contact(now time.Time) (time.Time, bool) {
 	c := &l.contacts
@@ -88,7 +88,7 @@
 }
 
 // contactLeft returns for how long leases may be granted, and starts ordered, as of the last
-// contact with a majority.
+// contact with a quorum.
 func (l *Leader) contactLeft(now time.Time) time.Duration {
 	if l.contacts.sets.Current() == nil {
 		return math.MaxInt64
@@ -193,7 +193,7 @@
 
 // nextSet returns the set to be used next, and whether it is another one. The set follows
 // the agents in contact when they have changed by more than a tenth, but at once when the
-// contact with a majority is lost.
+// contact with a quorum is lost.
 func (l *Leader) nextSet(now time.Time) (quorum.Set, bool) {
 	c := &l.contacts
 	lost := false
--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -63,7 +63,7 @@
 
 // Guards against a leader that is cut off with a few VMs and grants leases which the next
 // leader takes for expired.
-func TestLeaderGrantsLeasesOnlyInContactWithAMajority(t *testing.T) {
+func TestLeaderGrantsLeasesOnlyInContactWithAQuorum(t *testing.T) {
 	f := newContactFixture(t, "a", "b", "c")
 	f.report("a", 1, 0)
 	f.confirm(time.Now())
@@ -87,7 +87,7 @@
 }
 
 // Guards against an agent that was started anew, and has forgotten that it followed a later
-// leader, but counts for the majority of an earlier one.
+// leader, but counts for the quorum of an earlier one.
 func TestAgentStartedAnewCountsOnceTheTermIsConfirmed(t *testing.T) {
 	f := newContactFixture(t, "a", "b", "c")
 	f.report("a", 1, 0)
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -50,7 +50,7 @@
 	Address string `json:"address"`         // of the entry that leads
 	Alone   bool   `json:"alone,omitempty"` // the leases of all earlier leaders have expired
 	// Quorums are the sets of agents of which each leader whose leases may last was in
-	// contact with a majority when it granted them. The first one is that of this term.
+	// contact with a quorum when it granted them. The first one is that of this term.
 	// Empty: leases may have been granted without.
 	Quorums []quorum.Set `json:"quorums,omitempty"`
 }
--- a/internal/fleet/quorum/quorum.go
+++ b/internal/fleet/quorum/quorum.go
@@ -2,10 +2,10 @@
 //
 // A leader that is cut off from the store cannot know that another one has been elected, and
 // goes on to grant leases for as long as an outage of the store may last. It does so only
-// while it is in contact with a majority of a set of agents, which the store holds. An agent
+// while it is in contact with a quorum of a set of agents, which the store holds. An agent
 // follows the leader with the highest term only. A new leader learns from the agents that
 // follow it when they last heard from an earlier one; once these share an agent with every
-// majority, no earlier leader can have been in contact with a majority later than that.
+// quorum, no earlier leader can have been in contact with one later than that.
 //
 // The load that this answers is the loss of a leader and of VMs at about the same time: the
 // new leader hears from neither, and cannot tell them from a leader and VMs that are cut off
@@ -42,25 +42,26 @@
 	return len(s) + len(other) - 2*shared
 }
 
-// majority is the number of agents with which a leader has to be in contact.
-func (s Set) majority() int { return len(s)/2 + 1 }
+// size is the number of agents of a quorum: more than three fifths, so that a leader goes on
+// while a failure domain of a third is out of reach, and a new one needs two fifths.
+func (s Set) size() int { return len(s)*3/5 + 1 }
 
-// intersecting is the smallest number of agents that share one with every majority.
-func (s Set) intersecting() int { return len(s) - s.majority() + 1 }
+// intersecting is the smallest number of agents that share one with every quorum.
+func (s Set) intersecting() int { return len(s) - s.size() + 1 }
 
-// Contact returns the latest time since which a majority has been in contact with the leader.
+// Contact returns the latest time since which a quorum has been in contact with the leader.
 // received holds, by address, a time after which the agent has received a frame of the
 // leader. It reports false if there is none.
 func (s Set) Contact(received map[string]time.Time) (time.Time, bool) {
 	times := s.known(received)
-	if len(times) < s.majority() {
+	if len(times) < s.size() {
 		return time.Time{}, false
 	}
-	return times[len(times)-s.majority()], true
+	return times[len(times)-s.size()], true
 }
 
 // LastContact returns a time after which no earlier leader has been in contact with a
-// majority. heard holds, by address, a time after which the agent, which now follows this
+// quorum. heard holds, by address, a time after which the agent, which now follows this
 // leader, has received no frame of an earlier one. It reports false if too few agents are
 // known.
 func (s Set) LastContact(heard map[string]time.Time) (time.Time, bool) {
--- a/internal/fleet/quorum/quorum_test.go
+++ b/internal/fleet/quorum/quorum_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -36,9 +37,9 @@
 	})
 }
 
-// Guards against a leader that counts as in contact without a majority, and a bound by too
+// Guards against a leader that counts as in contact without a quorum, and a bound by too
 // few agents.
-func TestMajorityAndBound(t *testing.T) {
+func TestQuorumAndBound(t *testing.T) {
 	times := func(agents ...string) map[string]time.Time {
 		m := map[string]time.Time{}
 		for i, agent := range agents {
@@ -47,15 +48,15 @@
 		return m
 	}
 	for _, c := range []struct {
-		agents               []string
-		majority, intersects int
-	}{{[]string{"a"}, 1, 1}, {[]string{"a", "b"}, 2, 1}, {[]string{"a", "b", "c"}, 2, 2}, {[]string{"a", "b", "c", "d"}, 3, 2}} {
+		agents             []string
+		quorum, intersects int
+	}{{[]string{"a"}, 1, 1}, {[]string{"a", "b"}, 2, 1}, {[]string{"a", "b", "c"}, 2, 2}, {[]string{"a", "b", "c", "d"}, 3, 2}, {strings.Split("abcdefghijk", ""), 7, 5}} {
 		set := New(c.agents)
-		_, ok := set.Contact(times(c.agents[:c.majority-1]...))
+		_, ok := set.Contact(times(c.agents[:c.quorum-1]...))
 		require.False(t, ok, "%v", set)
 		contact, ok := set.Contact(times(c.agents...))
 		require.True(t, ok)
-		require.Equal(t, at(len(set)-c.majority), contact)
+		require.Equal(t, at(len(set)-c.quorum), contact)
 		_, ok = set.LastContact(times(c.agents[:c.intersects-1]...))
 		require.False(t, ok, "%v", set)
 		last, ok := set.LastContact(times(append([]string{"other"}, c.agents...)...))
