ledger: keep what a VM's lists have shown of earlier terms when its session ends

Callers saw: LOST, a lasting task without a run for over 6 s when a VM is lost beside the leader and another VM during the wait after the takeover. Cause: a takeover was settled only while the lists of all VMs were current. A VM that was lost after this leader had read its lists, which show all its runs of earlier terms, counted as unknown until the lease that this leader had granted it ended. Each further VM that was lost prolonged the wait of all inherited tasks without a listed run by 4.2 s from its own loss. Change: complete lists of an instance that were read in a session in which the term is confirmed count for the rest of the term, until another instance comes. An earlier leader can't start a run there any more: the executor refuses calls of earlier terms from these lists on, the agent follows this leader, and an agent that was started anew is given no starts in a session that began after the election. The word of an agent that the lease has lapsed counts for its session only, as before (TestLapseIsForgottenWithTheSession).

--- a/internal/fleet/lead/takeover_test.go
+++ b/internal/fleet/lead/takeover_test.go
@@ -75,16 +75,20 @@
 	return name
 }
 
-// loseVM takes a VM with a task away.
-func (r *losableFleet) loseVM() {
-	for _, vm := range r.vms {
-		if vm.executor.Runs(fleet.TaskID{Job: "feed"}) {
-			vm.stopAgent()
-			vm.executor.Crash()
-			return
+// loseVM takes a VM with a task away and returns the task.
+func (r *losableFleet) loseVM() fleet.TaskID {
+	for i := range r.vms {
+		task := fleet.TaskID{Job: "feed", Index: i}
+		for _, vm := range r.vms {
+			if vm.executor.Runs(task) {
+				vm.stopAgent()
+				vm.executor.Crash()
+				return task
+			}
 		}
 	}
-	require.Fail(r.t, "no VM runs the task")
+	require.Fail(r.t, "no VM runs a task")
+	return fleet.TaskID{}
 }
 
 // awaitLeaderAfter waits until another entry leads.
@@ -121,3 +125,18 @@
 	r.loseLeader()
 	require.Less(t, r.awaitAll(lost), lastingRestart)
 }
+
+// Guards against a task whose VM was lost beside the leader and that waits for further VMs, which
+// are lost after the new leader has read their lists (LOST).
+func TestWaitForALostVMDoesNotGrowWithFurtherOnes(t *testing.T) {
+	t.Parallel()
+	r := newLosableFleet(t, 3, 5)
+	leader := r.loseLeader()
+	task, lost := r.loseVM(), time.Now()
+	r.awaitLeaderAfter(leader)
+	time.Sleep(2 * time.Second)
+	r.loseVM()
+	require.Eventually(t, func() bool { return r.audit.Running(task) }, waitTimeout, 5*time.Millisecond)
+	require.Less(t, time.Since(lost), lastingRestart)
+	r.awaitAll(lost)
+}
--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -72,8 +72,9 @@
 )
 
 // modelBounded counts the takeovers that were settled before leases had to have ended without
-// the word of agents, modelLocated the starts of located tasks before their takeover was settled.
-var modelBounded, modelLocated int
+// the word of agents, modelLocated the starts of located tasks before their takeover was settled,
+// and modelSurveyed the takeovers that were settled by lists of an earlier session.
+var modelBounded, modelLocated, modelSurveyed int
 
 // modelExpired counts the orders that have ended by their deadline in all explorations, and
 // modelCounted the runs that were closed by the leader's count during a session.
@@ -216,9 +217,17 @@
 	}
 	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
 		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
+		if e.What == "settled" {
+			for _, n := range l.ledger.Nodes {
+				if n.surveyed && !n.complete && !n.LeaseEnd().Before(l.confirmed) {
+					modelSurveyed++
+					break
+				}
+			}
+		}
 		if e.What == "settled" && m.now.Sub(l.began) <= l.longest {
 			for _, n := range l.ledger.Nodes {
-				if !n.complete && !n.lapsed {
+				if !n.runsKnown() {
 					modelBounded++
 					break
 				}
@@ -1134,9 +1143,9 @@
 // leaders lead at a time.
 func TestExploreLeadersBesideEachOther(t *testing.T) {
 	limitChecks(t, termsChecks)
-	modelStarts, modelExpired, modelCounted, modelBounded, modelLocated = 0, 0, 0, 0, 0
+	modelStarts, modelExpired, modelCounted, modelBounded, modelLocated, modelSurveyed = 0, 0, 0, 0, 0, 0
 	defer func() {
-		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count, %d takeovers bounded", modelStarts, modelLocated, modelExpired, modelCounted, modelBounded)
+		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count, %d takeovers bounded, %d settled by lists of an earlier session", modelStarts, modelLocated, modelExpired, modelCounted, modelBounded, modelSurveyed)
 		require.Greater(t, modelStarts, minTermsStarts)
 		require.Greater(t, modelExpired, minTermsExpired)
 		require.Greater(t, modelCounted, minTermsCounted)
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -168,6 +168,9 @@
 	// lapsed is true if the agent has said in the present session that every lease
 	// of the instance has expired, so that no run of earlier terms goes on.
 	lapsed bool
+	// surveyed is set once complete lists have shown every run of earlier terms on the
+	// instance.
+	surveyed bool
 	// Trouble counts failed runs as 1, refused and unanswered starts as 0.5, and decays with
 	// troubleHalfLife. This is its value at troubleAt; TroubleAt returns later ones.
 	Trouble          float64
--- a/internal/fleet/ledger/orders.go
+++ b/internal/fleet/ledger/orders.go
@@ -92,6 +92,7 @@
 // ReleaseStarts lets the starts of the node be ordered.
 func (l *Ledger) ReleaseStarts(n *Node) {
 	n.startsHeld = false
+	n.surveyRuns()
 	l.pending[n] = struct{}{}
 }
 
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -131,6 +131,7 @@
 	if r.Listed {
 		l.applyLists(n, r, now)
 	}
+	n.surveyRuns()
 }
 
 // newInstance closes the runs of an earlier instance of the executor once the
@@ -165,7 +166,7 @@
 	n.highestEnd, n.ackedEnds, n.unstoredEnds, n.orders, n.listings = 0, 0, nil, Orders{}, 0
 	n.domains = nil
 	n.completeListings, n.complete = 0, false
-	n.Listed, n.lapsed = false, false
+	n.Listed, n.lapsed, n.surveyed = false, false, false
 }
 
 // expireLease closes all runs of a node whose executor's lease has expired, and
@@ -221,10 +222,16 @@
 	return unproven
 }
 
-// runsKnown reports whether every run of earlier terms is known or has ended. While starts
-// are held, the agent and the executor may have been started anew since they followed a later
-// leader, and show nothing of what that one knows.
-func (n *Node) runsKnown() bool { return (n.complete || n.lapsed) && !n.startsHeld }
+// surveyRuns records that complete lists have shown every run of earlier terms on the instance,
+// if the present session has brought some. While starts are held, the agent and the executor
+// may have been started anew since they followed a later leader, and show nothing of what that
+// one knows.
+func (n *Node) surveyRuns() { n.surveyed = n.surveyed || n.complete && !n.startsHeld }
+
+// runsKnown reports whether every run of earlier terms is known or has ended. Lists count also
+// once the session has ended: the executor refuses the calls of earlier terms since, and an
+// earlier leader orders no starts in a session that began after the election of this one.
+func (n *Node) runsKnown() bool { return n.surveyed || n.lapsed && !n.startsHeld }
 
 // Replaces reports whether a report is of another instance of the executor than the one known.
 func (n *Node) Replaces(r Report) bool {
@@ -278,7 +285,7 @@
 func (l *Ledger) settledBy(now time.Time) string {
 	var silent []string
 	for name, n := range l.Nodes {
-		if !n.complete {
+		if !n.surveyed {
 			silent = append(silent, name)
 		}
 	}
