lead: store other records although the store refuses one

Callers saw: nothing yet; found by reading for what one job lays on all others. Cause: up to 15 records share a transaction, and after a failure the same ones were tried together again. A record that the store refuses, as its value is over value_bytes (20,000 tasks with a failed run and a checkpoint each: 1.47 MB), kept all records beside it from being stored for as long as no more than 15 waited: ends were not acknowledged, final states not shown, suspects of crashes not started. Change: a commit that fails halves the number of records of the next one, one that succeeds doubles it, up to 15. Evidence: TestRefusedRecordHoldsBackNoOthers failed before: of 12 jobs, one of them refused, 0 were stored in 30 commits, and 11 now. From one record on, 4 commits reach the full number again. Tests of lead pass. The refused record itself is still tried for good, and the ends after its own on the same VM are not acknowledged: open.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -23,7 +23,7 @@
 		if l.commits > 0 && l.ledger.Unstored() < maxRecords {
 			return
 		}
-		records, err := l.ledger.Dirty(maxRecords)
+		records, err := l.ledger.Dirty(l.recordLimit)
 		if err != nil {
 			l.opts.Log.Error("Progress not stored.", "err", err)
 		}
@@ -59,6 +59,7 @@
 	switch {
 	case err == nil:
 		l.confirm(sent)
+		l.recordLimit = min(maxRecords, 2*l.recordLimit)
 		l.ledger.Stored(records, revision)
 		return
 	case errors.As(err, &conflict):
@@ -66,6 +67,8 @@
 	default:
 		l.opts.Log.Warn("Progress not stored, trying again.", "jobs", len(records), "err", err)
 		l.commitAfter = time.Now().Add(commitRetry)
+		// The store may refuse one of them.
+		l.recordLimit = max(1, len(records)/2)
 	}
 	l.ledger.NotStored(records)
 }
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -115,6 +115,7 @@
 	loaded          chan struct{} // closed once the state is read from the store
 	commits         int           // in flight
 	commitAfter     time.Time
+	recordLimit     int // number of jobs in the next commit, at most
 	lastMaintenance time.Time
 	deposed         error
 	storedLearned   []byte   // last stored value of fleet.LearnedKey
@@ -149,6 +150,7 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
+	l.recordLimit = maxRecords
 	l.lastMaintenance = l.began // by the first one most sessions with agents have begun
 	l.contacts = newContacts(before.quorums, l.began, term)
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
