lead: bound no lease by contact that an executor has by another one's clock

Callers saw: nothing yet; found by reading. Cause: contact with agents bounds what leaders grant to 4.74 s. A new instance that has carried out a start which was called for the one before reads its deadline by a clock of its own, and may run it for 10 s. The leader that sees this counts 10.35 s, and says so when it steps down. The next one took the bound by agents instead, and could start the task again beside that run. Only an agent of an earlier version makes such calls. Change: while such a lease may last, the record of the term, and that of a leader which steps down, state no sets of agents and that leases may last. Evidence: TestHandoverCoversLeasesByTheClockOfAnotherInstance, which now asks for this, and TestRecordOfATermCoversLeasesByTheClockOfAnotherInstance failed before. Tests of lead and ledger pass. Not covered: a leader that ends within the tick and the call to the store between the lists and the record.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -143,6 +143,9 @@
 	if change {
 		state.quorums = c.sets.AllAfter(next)
 	}
+	if l.ledger.HasForeignLease(now) {
+		state = termState{}
+	}
 	if !change && !c.unsure && state.equal(c.stored) {
 		return
 	}
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -12,6 +12,8 @@
 
 	"vanillalock.example/vanillalock/internal/fleet"
 	"vanillalock.example/vanillalock/internal/fleet/ledger"
+	"vanillalock.example/vanillalock/internal/fleet/link"
+	"vanillalock.example/vanillalock/internal/fleet/quorum"
 	standin "vanillalock.example/vanillalock/internal/standin/fleet"
 )
 
@@ -48,8 +50,40 @@
 		e := &fleet.Executor{Instance: instance, Pool: "pool"}
 		l.ledger.Report(n, ledger.Report{Executor: e, Listed: true, Running: []fleet.Running{{Task: fleet.TaskID{Job: "job"}, Run: 1}}}, startTime)
 	}
-	left := time.Duration(l.handover(startTime).LeaseMs) * time.Millisecond
-	require.GreaterOrEqual(t, left, maxLeaseDuration(handoverMaxLease))
+	l.contacts = newContacts([]quorum.Set{quorum.New([]string{"a"})}, l.began, l.term)
+	handover := l.handover(startTime)
+	require.GreaterOrEqual(t, time.Duration(handover.LeaseMs)*time.Millisecond, maxLeaseDuration(handoverMaxLease))
+	require.Empty(t, handover.Quorums, "contact with agents does not bound it")
+	require.NotEmpty(t, l.handover(startTime.Add(maxLeaseDuration(handoverMaxLease)+time.Second)).Quorums)
+}
+
+// Guards against a record of a term by which the next leader takes the lease of such an instance
+// for shorter.
+func TestRecordOfATermCoversLeasesByTheClockOfAnotherInstance(t *testing.T) {
+	l := newLoadingLeader(t, &slowStore{}, 0)
+	l.contacts = newContacts([]quorum.Set{quorum.New([]string{"a"})}, l.began, l.term)
+	l.exclusiveSince, l.alone = 2, true
+	l.contacts.stored.alone = true
+	recorded := func(after time.Duration) link.TermRecord {
+		l.maintainRecord(t.Context(), l.began.Add(after))
+		if l.contacts.recording {
+			l.handle(<-l.events)
+		}
+		item, err := l.opts.Store.Get(t.Context(), fleet.TermKey)
+		require.NoError(t, err)
+		var record link.TermRecord
+		require.NoError(t, json.Unmarshal(item.Value, &record))
+		return record
+	}
+	n := l.ledger.AddNode("a")
+	for _, instance := range []string{"a@1", "a@2"} {
+		e := &fleet.Executor{Instance: instance, Pool: "pool"}
+		l.ledger.Report(n, ledger.Report{Executor: e, Listed: true, Running: []fleet.Running{{Task: fleet.TaskID{Job: "job"}, Run: 1}}}, l.began)
+	}
+	require.Equal(t, link.TermRecord{}, recorded(time.Millisecond))
+	after := recorded(maxLeaseDuration(handoverMaxLease) + time.Second)
+	require.True(t, after.Alone)
+	require.NotEmpty(t, after.Quorums)
 }
 
 // Guards against assuming short leases when the handover record is missing, cannot be
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -247,7 +247,11 @@
 	for _, n := range l.ledger.Nodes {
 		left = max(left, n.LeaseEnd().Sub(now))
 	}
-	return link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0, Quorums: l.contacts.sets.All()}
+	record := link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0, Quorums: l.contacts.sets.All()}
+	if l.ledger.HasForeignLease(now) {
+		record.Quorums = nil
+	}
+	return record
 }
 
 // drainEvents handles all queued events, so that they share one plan and one commit.
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -63,6 +63,17 @@
 	return n
 }
 
+// HasForeignLease reports whether an executor may have a lease that was granted to the instance
+// before it. It lasts as long as the longest one, whoever is in contact with agents.
+func (l *Ledger) HasForeignLease(now time.Time) bool {
+	for _, n := range l.Nodes {
+		if n.foreignLeaseUntil.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // EarlierLeasesEnd returns when the leases of earlier leaders have expired.
 func (l *Ledger) EarlierLeasesEnd() time.Time { return l.earlierUntil }
 
