--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -115,6 +115,7 @@
 	loaded          chan struct{} // closed once the state is read from the store
 	commits         int           // in flight
 	commitAfter     time.Time
+	recordLimit     int // number of jobs in the next commit, at most
 	lastMaintenance time.Time
 	deposed         error
 	storedLearned   []byte   // last stored value of fleet.LearnedKey
@@ -149,6 +150,8 @@
 		verifiedAt: verified, began: time.Now(), predecessor: before, exclusiveSince: before.exclusiveSince,
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
+	l.recordLimit = maxRecords
+	l.lastMaintenance = l.began // by the first one most sessions with agents have begun
 	l.contacts = newContacts(before.quorums, l.began, term)
 	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
@@ -244,7 +247,11 @@
 	for _, n := range l.ledger.Nodes {
 		left = max(left, n.LeaseEnd().Sub(now))
 	}
-	return link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0, Quorums: l.contacts.sets.All()}
+	record := link.Handover{LeaseMs: left.Milliseconds() + 1, Exclusive: l.exclusiveSince != 0, Quorums: l.contacts.sets.All()}
+	if l.ledger.HasForeignLease(now) {
+		record.Quorums = nil
+	}
+	return record
 }
 
 // drainEvents handles all queued events, so that they share one plan and one commit.
