lead: keep a majority of the set of agents while maintenance is due

Callers may see: LOST, a wait of 10 s for a VM that is lost beside a leader shortly after a takeover, or after a short loss of contact, although most agents are in touch. Cause: every 3 s the set follows the agents in contact, also while the contact with a majority is lost. The first tick of a term is such a time, as sessions with a few agents only are open by then, and so is a second in which the leader hears from few. The set is then these few for 3 s, and the next leader waits if any half of them is gone. Change: while the contact is lost, the set changes only after contactLostFor, as it does at other times. Else it holds a majority of the one before. Evidence: TestFirstAgentsOfATakeoverAreNotItsSet and TestSetDoesNotShrinkToAMinorityWhileMaintenanceIsDue failed before, both with one of five agents as the next set, and pass.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -192,8 +192,8 @@
 }
 
 // nextSet returns the set to be used next, and whether it is another one. The set follows
-// the agents in contact when they have changed by more than a tenth, but at once when the
-// contact with a majority is lost.
+// the agents in contact when they have changed by more than a tenth. It then holds a majority
+// of the current one, unless the contact with that is lost for contactLostFor.
 func (l *Leader) nextSet(now time.Time) (quorum.Set, bool) {
 	c := &l.contacts
 	lost := false
@@ -204,7 +204,8 @@
 	} else {
 		lost = now.Sub(c.lostSince) >= contactLostFor
 	}
-	due := now.Sub(l.lastMaintenance) > maintenanceInterval
+	// While the contact is lost, as at the beginning of a term, those in contact are few.
+	due := c.lostSince.IsZero() && now.Sub(l.lastMaintenance) > maintenanceInterval
 	if !lost && !due {
 		return nil, false
 	}
--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -182,3 +182,33 @@
 	f.handle(<-f.events)
 	require.Equal(t, []quorum.Set{onlyA}, quorums())
 }
+
+// Guards against a takeover that begins with the few agents that connect first as its set, and
+// then waits 10 s for any of them that is lost beside the leader.
+func TestFirstAgentsOfATakeoverAreNotItsSet(t *testing.T) {
+	f := newContactFixture(t, "a", "b", "c", "d", "e")
+	f.lastMaintenance = time.Time{}
+	f.report("a", 1, 0)
+	f.confirm(time.Now())
+	f.maintainRecord(t.Context(), f.now)
+	require.False(t, f.contacts.recording, "one of five agents is the next set")
+}
+
+// Guards against a set that shrinks to a few agents because maintenance is due during a short
+// loss of contact.
+func TestSetDoesNotShrinkToAMinorityWhileMaintenanceIsDue(t *testing.T) {
+	f := newContactFixture(t, "a", "b", "c", "d", "e")
+	for i, agent := range []string{"a", "b", "c", "d", "e"} {
+		f.report(agent, uint64(i+1), 0)
+	}
+	f.confirm(time.Now())
+	f.now = f.now.Add(staleContact + 100*time.Millisecond)
+	f.session("a")
+	f.report("a", 1, 0)
+	f.lastMaintenance = f.now.Add(-2 * maintenanceInterval)
+	f.maintainRecord(t.Context(), f.now)
+	require.False(t, f.contacts.recording, "the contact with the others was lost for 0.1 s only")
+	f.now = f.now.Add(contactLostFor)
+	f.maintainRecord(t.Context(), f.now)
+	require.True(t, f.contacts.recording, "it is lost")
+}
