lead: keep what agents say of earlier leaders only while it counts

Callers may see: nothing; the memory of a leader grows by an entry for each address at which an agent has been, for as long as its term lasts. Cause: the map is filled by each new agent, also once no lease of an earlier leader lasts, and is never emptied. Change: nothing is added once it is recorded that no earlier lease lasts, or where no sets of agents are known. Evidence: TestAgentsAreNotHeardOnceNoEarlierLeaseLasts failed before with 2 entries, and passes.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -104,6 +104,9 @@
 // holds for good: an agent that is started anew counts for none of them, as none is confirmed
 // any more.
 func (l *Leader) hearOfEarlierLeaders(address string, m *pb.NodeReport, now time.Time) {
+	if l.alone || len(l.predecessor.quorums) == 0 {
+		return // surveyEarlierLeaders needs it no more; agents come and go during a term
+	}
 	if _, known := l.contacts.heard[address]; !known && m.GetProcess() != 0 {
 		l.contacts.heard[address] = now.Add(-time.Duration(m.GetEarlierLeaderMs()) * time.Millisecond)
 	}
--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -212,3 +212,14 @@
 	f.maintainRecord(t.Context(), f.now)
 	require.True(t, f.contacts.recording, "it is lost")
 }
+
+// Guards against a term that keeps an entry for the address of each agent that comes and goes.
+func TestAgentsAreNotHeardOnceNoEarlierLeaseLasts(t *testing.T) {
+	f := newContactFixture(t, "a", "b")
+	f.predecessor.quorums = []quorum.Set{quorum.New([]string{"a", "b"})}
+	f.report("a", 1, time.Second)
+	require.Len(t, f.contacts.heard, 1)
+	f.alone = true
+	f.report("b", 2, time.Second)
+	require.Len(t, f.contacts.heard, 1)
+}
