--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -104,6 +104,9 @@
 // holds for good: an agent that is started anew counts for none of them, as none is confirmed
 // any more.
 func (l *Leader) hearOfEarlierLeaders(address string, m *pb.NodeReport, now time.Time) {
+	if l.alone || len(l.predecessor.quorums) == 0 {
+		return // surveyEarlierLeaders needs it no more; agents come and go during a term
+	}
 	if _, known := l.contacts.heard[address]; !known && m.GetProcess() != 0 {
 		l.contacts.heard[address] = now.Add(-time.Duration(m.GetEarlierLeaderMs()) * time.Millisecond)
 	}
@@ -195,8 +198,8 @@
 }
 
 // nextSet returns the set to be used next, and whether it is another one. The set follows
-// the agents in contact when they have changed by more than a tenth, but at once when the
-// contact with a quorum is lost.
+// the agents in contact when they have changed by more than a tenth. It then holds a quorum
+// of the current one, unless the contact with that is lost for contactLostFor.
 func (l *Leader) nextSet(now time.Time) (quorum.Set, bool) {
 	c := &l.contacts
 	lost := false
@@ -207,7 +210,8 @@
 	} else {
 		lost = now.Sub(c.lostSince) >= contactLostFor
 	}
-	due := !l.lastMaintenance.IsZero() && now.Sub(l.lastMaintenance) > maintenanceInterval
+	// While the contact is lost, as at the beginning of a term, those in contact are few.
+	due := c.lostSince.IsZero() && now.Sub(l.lastMaintenance) > maintenanceInterval
 	if !lost && !due {
 		return nil, false
 	}
