side: keep the registration of an executor that is not confirmed in time

Cause: an agent that is started anew while nobody leads cannot confirm its executor, which refuses calls of a term that the agent does not know yet. It registers all the same, but gives the announced instance up after 1.5 s, takes that for an executor that has left, and removes the registration until the next announcement. A leader that is elected in between does not know the VM: the takeover settles without its lists or leases (settled after 0.22 s with 9 of 11 VMs), and its tasks start elsewhere while they go on. Change: the registration is removed only once the executor has left: its last lease has expired without an answer after it said so. Evidence: TestRegistrationStaysWhileTheExecutorCannotBeConfirmed failed before and passes.

--- a/internal/fleet/side/announcement_test.go
+++ b/internal/fleet/side/announcement_test.go
@@ -152,7 +152,7 @@
 	a := newAnnouncedAgent(t, x)
 	a.Announce(announcementOf("i-1@1000", "i-1", 1000))
 	require.Eventually(t, func() bool {
-		wanted, _ := a.registrationWanted(t.Context())
+		wanted, _, _ := a.registrationWanted(t.Context())
 		return wanted
 	}, 10*time.Second, time.Millisecond)
 	require.Empty(t, instanceOf(a))
--- a/internal/fleet/side/register.go
+++ b/internal/fleet/side/register.go
@@ -22,8 +22,8 @@
 // ends. The record exists from the first announcement of an executor until that
 // executor has left, so that no leader waits for a VM on which nothing can run.
 // It is written again every registrationRenewInterval while no leader has a
-// session. A record written before a restart of the agent stays until the
-// executor leaves, because tasks may still run there.
+// session. A record written before a restart of the agent, or for an executor that
+// was not confirmed, stays until the executor leaves, because tasks may still run there.
 func (a *Agent) maintainRegistration(ctx context.Context) {
 	value, err := json.Marshal(link.NodeRecord{Address: a.opts.Advertise})
 	if err != nil { // a struct of strings always encodes
@@ -32,12 +32,12 @@
 	}
 	r := registration{key: fleet.NodeBase + a.opts.Node, value: value}
 	for ctx.Err() == nil {
-		wanted, following := a.registrationWanted(ctx)
+		wanted, left, following := a.registrationWanted(ctx)
 		ok := true
 		switch {
 		case wanted && (!r.written || !following && time.Since(r.checkedAt) > registrationRenewInterval):
 			ok = a.writeRegistration(ctx, &r)
-		case !wanted && r.mayExist:
+		case left && r.mayExist:
 			ok = a.removeRegistration(ctx, &r)
 		}
 		if !ok {
@@ -58,18 +58,20 @@
 }
 
 // registrationWanted reports whether there is an executor that has not left, or one that
-// can be confirmed only in a session, and whether a leader has a session.
-func (a *Agent) registrationWanted(ctx context.Context) (wanted, following bool) {
-	type state struct{ wanted, following bool }
+// can be confirmed only in a session, whether the executor has left instead, and whether a
+// leader has a session. An executor that is not confirmed in time has not left.
+func (a *Agent) registrationWanted(ctx context.Context) (wanted, left, following bool) {
+	type state struct{ wanted, left, following bool }
 	answer := make(chan state, 1)
 	a.post(ctx, func() {
-		answer <- state{a.executor != nil && !a.executorLeft || a.hasFencedCandidate(), a.session != nil}
+		fenced := a.hasFencedCandidate()
+		answer <- state{a.executor != nil && !a.executorLeft || fenced, a.executorLeft && !fenced, a.session != nil}
 	})
 	select {
 	case s := <-answer:
-		return s.wanted, s.following
+		return s.wanted, s.left, s.following
 	case <-ctx.Done():
-		return false, false
+		return false, false, false
 	}
 }
 
--- a/internal/fleet/side/register_test.go
+++ b/internal/fleet/side/register_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -59,3 +61,27 @@
 	s.carryOut()
 	require.NotZero(t, s.revision, "the deletion of an earlier process")
 }
+
+// Guards against a takeover that knows nothing of a VM at work, and starts its tasks elsewhere:
+// its agent was started anew beside an executor that answers no agent without a term.
+func TestRegistrationStaysWhileTheExecutorCannotBeConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lateStore{}
+		a := newAnnouncedAgent(t, &instanceOnly{id: "i-1", born: 1000, fence: 7})
+		a.opts.Store = s
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			a.maintainRegistration(ctx)
+			close(ended)
+		}()
+		for range 4 { // announcements that come at intervals longer than confirmTimeout
+			a.Announce(announcementOf("i-1@1000", "i-1", 1000))
+			time.Sleep(2 * confirmTimeout)
+		}
+		cancel()
+		<-ended
+		require.NotZero(t, s.revision, "it is never written")
+		require.Empty(t, s.late, "it is removed, though nothing shows that the executor has left")
+	})
+}
