ledger: let located tasks wait while leaders of an earlier version may start them

Callers may see: TWICE while entries of two versions run beside each other. Cause: a task of which a run was listed in this term starts again without waiting for silent VMs, as an earlier leader holds the report of a new instance until its term is confirmed. One of an earlier version applies it at once: it hears of the end of the run from an agent that was started anew, together with its executor, and starts the task on a VM that follows it. Change: such a task waits for a settled takeover, as before, unless the record of the term before holds sets of agents, which only this version stores, or says that no earlier leader orders starts.

--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -223,3 +223,10 @@
 	f.report("b", 2, time.Second)
 	require.Len(t, f.contacts.heard, 1)
 }
+
+// Guards against a leader that takes an earlier one for one of its own version.
+func TestLeadersWithoutSetsMayBeOfAnEarlierVersion(t *testing.T) {
+	require.True(t, predecessor{}.mayBeOfEarlierVersion())
+	require.False(t, predecessor{exclusiveSince: 1}.mayBeOfEarlierVersion(), "none orders starts")
+	require.False(t, predecessor{quorums: []quorum.Set{quorum.New([]string{"a"})}}.mayBeOfEarlierVersion())
+}
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -150,7 +150,7 @@
 		wallOffset: wallOffset, offsetThen: wallOffset(verified),
 	}
 	l.contacts = newContacts(before.quorums, l.began, term)
-	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
+	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, EarlierVersions: before.mayBeOfEarlierVersion(), LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
 	l.planner.waits = newWaits(o.Log, o.Metrics)
 	l.planner.locality = newLocality(o.FarFactor, l.reportPlacement)
--- a/internal/fleet/lead/predecessor.go
+++ b/internal/fleet/lead/predecessor.go
@@ -29,6 +29,12 @@
 	quorums []quorum.Set
 }
 
+// mayBeOfEarlierVersion reports whether a leader of an earlier version may still order starts.
+// Such leaders store no sets.
+func (p predecessor) mayBeOfEarlierVersion() bool {
+	return len(p.quorums) == 0 && p.exclusiveSince == 0
+}
+
 // lastTerm is what the store holds of the last term.
 type lastTerm struct {
 	handover, term fleet.Item // the items of HandoverKey and TermKey; no revision: there is none
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -75,8 +75,8 @@
 	Current    *Run // nil: it has no run
 	// located is set once a run of the task was listed as running in this term. No earlier
 	// leader has started it again: none had heard of the end of that run when the lists were
-	// made, and none hears of it later in a session in which the
-	// term is not confirmed.
+	// made, and none hears of it later in a session in which the term is not confirmed. It
+	// counts unless Options.EarlierVersions is set.
 	located    bool
 	NotBefore  time.Time // earliest next start, after a refusal
 	LastNode   string    // node of the last run
@@ -236,8 +236,10 @@
 	Nodes map[string]*Node // by name
 	// Settled is true once every run of earlier terms is known or has ended.
 	// Until then tasks of inherited jobs are started only if they are located.
-	Settled  bool
-	takeover time.Time
+	Settled bool
+	// earlierVersions is as in Options.
+	earlierVersions bool
+	takeover        time.Time
 	// earlierUntil is when the leases of earlier leaders have expired.
 	earlierUntil time.Time
 	// longestLease is as in Options.
@@ -261,6 +263,9 @@
 	// MaxLease is the time after Takeover by which every lease that an earlier
 	// leader gave has expired.
 	MaxLease time.Duration
+	// EarlierVersions is set if a leader of an earlier version may still order starts. It may
+	// hear of the end of a run from an agent that was started anew, see Task.located.
+	EarlierVersions bool
 	// LongestLease is the time that the longest lease an executor accepts may last.
 	LongestLease time.Duration
 	// Attempts returns the number of failed runs of a task at which the job fails.
@@ -275,7 +280,7 @@
 // New returns an empty ledger for a term that starts at o.Takeover.
 func New(o Options) *Ledger {
 	return &Ledger{
-		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, earlierUntil: o.Takeover.Add(o.MaxLease), longestLease: o.LongestLease,
+		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, earlierUntil: o.Takeover.Add(o.MaxLease), earlierVersions: o.EarlierVersions, longestLease: o.LongestLease,
 		maxAttempts: o.Attempts, log: o.Log, done: o.Done, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 		cancelledEarly: map[string]time.Time{}, early: map[string][]earlyEnd{},
 	}
@@ -451,6 +456,9 @@
 	return n
 }
 
+// isLocated reports whether no earlier leader has started or will start a task that has no run.
+func (l *Ledger) isLocated(t *Task) bool { return t.located && !l.earlierVersions }
+
 // Ready returns the tasks that may be started now, step by step: the steps in the
 // order in which they became ready, and so their tasks.
 func (l *Ledger) Ready(now time.Time) []*Task {
@@ -475,7 +483,7 @@
 		held := s.Job.Inherited && !l.Settled
 		var tasks []*Task
 		for _, t := range s.Tasks {
-			if t.isReady(now) && (t.located || !held) {
+			if t.isReady(now) && (!held || l.isLocated(t)) {
 				tasks = append(tasks, t)
 			}
 		}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -265,7 +265,7 @@
 			continue
 		}
 		for _, task := range s.Tasks {
-			if task.isReady(now) && !task.located {
+			if task.isReady(now) && !l.isLocated(task) {
 				t.Held++
 			}
 		}
