ledger: play leaders and agents of earlier versions and VMs at other addresses

Clocks of agents and leaders that stand still are not played: with them agents would state a later contact, and leaders wait longer, than the model does.

--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -109,6 +109,7 @@
 	contacts  map[string]*quorum.Contact
 	heard     map[string]time.Time
 	exclusive bool // no earlier leader orders starts
+	legacy    bool // of a version that has no sets of agents, and holds no reports
 }
 
 // termsSession is a session of a leader with an agent.
@@ -162,7 +163,8 @@
 	gone       bool
 	// Of the process, its last report, and when it last heard from a leader, and from one
 	// before that.
-	process, reported       uint64
+	process, reported       uint64 // process 0: of a version that tells nothing of leaders
+	address                 string
 	heardAt, earlierHeardAt time.Time
 }
 
@@ -173,7 +175,10 @@
 	jobs      []fleet.Job
 	stored    map[string][]byte
 	quorums   []quorum.Set // of the record of the latest term
+	alone     bool         // the same: no lease of an earlier leader lasts
+	exclusive bool         // the latest term has ended with a record that no leader orders starts
 	processes uint64       // of agents, started until now
+	moves     int          // of agents to other addresses
 	calm      bool         // no faults any more
 }
 
@@ -192,18 +197,21 @@
 // newAgent returns an agent whose process has just been started.
 func (m *termsModel) newAgent(x *modelExecutor) *termsAgent {
 	m.processes++
-	a := &termsAgent{x: x, unanswered: map[RunRef]time.Duration{}, process: m.processes, heardAt: m.now, earlierHeardAt: m.now}
+	a := &termsAgent{x: x, unanswered: map[RunRef]time.Duration{}, process: m.processes, address: x.name, heardAt: m.now, earlierHeardAt: m.now}
+	if rapid.IntRange(0, 7).Draw(m.t, "earlier version of the agent") == 0 {
+		a.process = 0
+	}
 	if faultRestartedHeardNone {
 		a.earlierHeardAt = a.earlierHeardAt.Add(-time.Hour)
 	}
 	return a
 }
 
-// addresses returns the addresses of the agents, which are the names of the executors.
+// addresses returns the addresses of the agents.
 func (m *termsModel) addresses() []string {
 	var addresses []string
-	for _, x := range m.executors {
-		addresses = append(addresses, x.name)
+	for _, a := range m.agents {
+		addresses = append(addresses, a.address)
 	}
 	return addresses
 }
@@ -214,7 +222,7 @@
 	if n := len(m.leaders); n > 0 {
 		l.term = m.leaders[n-1].term + 1
 	}
-	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
+	l.ledger = New(Options{Takeover: m.now, MaxLease: maxLease, EarlierVersions: len(m.quorums) == 0 && !m.exclusive, LongestLease: termsLongest(termsHoldMax), Attempts: func(*Job) int { return modelAttempts }, Log: func(e Event) {
 		m.tracef("term %d: %s %s run %d on %s: %s", l.term, e.What, e.Task, e.Run, e.Node, e.Reason)
 		if e.What == "settled" && m.now.Sub(l.began) <= l.longest {
 			for _, n := range l.ledger.Nodes {
@@ -239,6 +247,10 @@
 			require.NoError(m.t, l.ledger.Restore(job.ID, value, 1, m.now))
 		}
 	}
+	l.exclusive, m.exclusive, m.alone = m.exclusive, false, false
+	if rapid.IntRange(0, 5).Draw(m.t, "earlier version of the leader") == 0 {
+		l.legacy, l.earlier, l.sets, m.quorums = true, nil, quorum.Sets{}, nil
+	}
 	m.leaders = append(m.leaders, l)
 	if len(m.leaders) > termsLeaders {
 		m.endTerm(m.leaders[0])
@@ -259,11 +271,26 @@
 		return
 	}
 	left := min(termsLongest(termsGrantGrace), max(termsLongest(termsLease), last.maxLease-m.now.Sub(last.began)))
-	m.quorums = last.sets.All()
+	for _, n := range last.ledger.Nodes {
+		left = max(left, n.LeaseEnd().Sub(m.now))
+	}
+	m.quorums, m.exclusive = last.sets.All(), last.exclusive
 	m.elect(left)
 	m.endTerm(last)
 }
 
+// succeedEnded elects a leader after the latest one has ended without a record of it, which
+// its entry says.
+func (m *termsModel) succeedEnded() {
+	last := m.latest()
+	if !m.alone {
+		return
+	}
+	m.exclusive = true
+	m.elect(termsLongest(termsLease))
+	m.endTerm(last)
+}
+
 func (m *termsModel) latest() *termsLeader { return m.leaders[len(m.leaders)-1] }
 
 func (m *termsModel) endTerm(l *termsLeader) {
@@ -336,7 +363,7 @@
 	l.sessions[name] = s
 	l.ledger.HoldStarts(l.ledger.Nodes[name])
 	l.held[name] = m.now
-	l.contacts[name].Begin(name, m.now)
+	l.contacts[name].Begin(a.address, m.now)
 	if a.session != nil {
 		a.loseSession()
 	}
@@ -378,9 +405,16 @@
 	}
 	a.cancelOrders()
 	m.tracef("agent of %s starts anew", a.x.name)
-	life := a.life + 1
+	life, address := a.life+1, a.address
 	*a = *m.newAgent(a.x)
-	a.life = life
+	a.life, a.address = life, address
+}
+
+// move registers the VM of an agent at another address.
+func (m *termsModel) move(a *termsAgent) {
+	m.restartAgent(a)
+	m.moves++
+	a.address = a.x.name + "." + strconv.Itoa(m.moves)
 }
 
 // adopt confirms the announced instance and makes it the known one. A restarted agent cannot
@@ -724,15 +758,15 @@
 	if !s.read {
 		s.read = true
 		l.contacts[name].Introduce(r.process, m.now)
-		if _, known := l.heard[name]; !known {
-			l.heard[name] = r.earlierHeard
+		if _, known := l.heard[l.contacts[name].Address()]; !known && r.process != 0 {
+			l.heard[l.contacts[name].Address()] = r.earlierHeard
 		}
 	}
 	if faultContactUnconfirmed {
 		l.contacts[name].Confirm(m.now.Add(time.Nanosecond))
 	}
 	l.contacts[name].Received(r.answered)
-	if n := l.ledger.Nodes[name]; n.StartsHeld() && n.Replaces(r.Report) && !faultReplacedUnconfirmed {
+	if n := l.ledger.Nodes[name]; n.StartsHeld() && n.Replaces(r.Report) && !faultReplacedUnconfirmed && !l.legacy {
 		return false // later reports wait, too
 	}
 	s.reports = s.reports[1:]
@@ -757,9 +791,9 @@
 		return termsGrantGrace
 	}
 	received := map[string]time.Time{}
-	for name, c := range l.contacts {
+	for _, c := range l.contacts {
 		if c.Confirm(l.confirmed); !c.At().IsZero() {
-			received[name] = c.At()
+			received[c.Address()] = c.At()
 		}
 	}
 	contact, ok := l.sets.Current().Contact(received)
@@ -799,26 +833,39 @@
 		return
 	}
 	alone := l.exclusive && m.now.Sub(l.began) > l.maxLease
+	m.alone = alone
+	if l.legacy {
+		return
+	}
 	if alone {
 		l.sets.Expire(m.now.Add(-termsLongest(termsContactGrace)))
 	}
 	var agents []string
 	m.contactLeft(l)
-	for name, c := range l.contacts {
+	for _, c := range l.contacts {
 		if m.now.Sub(c.At()) <= termsStaleContact {
-			agents = append(agents, name)
+			agents = append(agents, c.Address())
 		}
 	}
-	if len(agents) == 0 || !rapid.Bool().Draw(m.t, "next set") {
+	older := 0
+	for name, c := range l.contacts {
+		if l.sessions[name] != nil && c.IsSilent() {
+			older++
+		}
+	}
+	if len(agents) == 0 && older == 0 || !m.calm && !rapid.Bool().Draw(m.t, "next set") {
 		m.quorums = l.sets.All()
 		return
 	}
 	next := quorum.New(agents)
+	if older > len(next) {
+		next = nil
+	}
 	m.tracef("term %d grants leases by %v", l.term, next)
 	if !faultSetNotStored {
 		m.quorums = l.sets.AllAfter(next)
 	}
-	if rapid.Bool().Draw(m.t, "set stored") || faultSetNotStored {
+	if m.calm || rapid.Bool().Draw(m.t, "set stored") || faultSetNotStored {
 		l.sets.Replace(next, m.now)
 		if faultSetForgotten {
 			l.sets.Expire(m.now.Add(time.Nanosecond))
@@ -1108,6 +1155,7 @@
 				m.end(a.x, id, fleet.EndDone)
 			}
 		}
+		m.record(l)
 		m.store(l)
 	}
 	require.True(m.t, done(), "a task is lost: %d jobs, settled %v", len(m.jobs), l.ledger.Settled)
@@ -1155,7 +1203,7 @@
 			{4, func() { m.dispatch(m.leader()) }}, {4, func() { m.receive(m.agent()) }}, {5, func() { m.arrive(m.agent(), true) }},
 			{4, func() { m.ask(m.leader()) }}, {4, func() { m.answer(m.leader()) }}, {3, func() { m.store(m.latest()) }},
 			{2, func() { m.record(m.latest()) }}, {4, func() { m.finish(m.pick()) }}, {5, advance}, {1, m.electBeside}, {1, m.split}, {1, m.splitAgain}, {2, func() { m.reset(m.agent()) }}, {2, func() { m.reborn(m.agent()) }}, {2, func() { m.impair(m.agent()) }},
-			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {2, func() { m.accept(m.latest()) }},
+			{2, func() { m.pass(rapid.IntRange(1, 7).Draw(t, "renewals")) }}, {1, m.handOver}, {1, m.succeedEnded}, {1, func() { m.move(m.agent()) }}, {2, func() { m.accept(m.latest()) }},
 			{1, func() { m.restart(m.pick()) }}, {1, func() { m.restartAgent(m.agent()) }},
 			{1, func() { a := m.agent(); m.restartAgent(a); m.restart(a.x) }},
 			{2, func() { m.adopt(m.agent()) }}, {2, func() { m.dial(m.leader(), m.agent()) }}, {1, func() { m.notice(m.leader(), m.agent()) }},
