lead: the first starts of a session carry a lease

Cause: until a leader is in contact with a quorum it answers lists without a lease, and the answer was final. The first starts followed once it was in contact, without a lease, as no report was left to answer. An executor that was started anew has none, and ended them; two lists later they counted as not listed. Change: such a report is answered once more, with the first lease, in the frame that carries the starts. Evidence: TestFirstStartsCarryALease failed before.

--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -85,6 +85,34 @@
 	require.Zero(t, f.lease("a", f.now.Add(time.Millisecond)), "the VM was suspended")
 }
 
+// Guards against tasks that end at once because they were started after a restart of all VMs
+// without a lease: the lists had been answered before the leader was in contact.
+func TestFirstStartsCarryALease(t *testing.T) {
+	f := newContactFixture(t, "a", "b")
+	n, node := f.links["a"], f.ledger.Nodes["a"]
+	n.outbox = make(chan *pb.Frame, 4)
+	lists := ledger.Report{Executor: &fleet.Executor{Instance: "a@1"}, Listed: true}
+	f.handleReport(n, "a", link.Report(1, lists, 0, link.Introduction{Process: 1}).GetNodeReport())
+	f.dispatch(t.Context())
+	first := (<-n.outbox).GetOrders()
+	require.Equal(t, uint64(1), first.GetReport(), "the answer shows the contact")
+	require.Zero(t, first.GetLeaseMs())
+	f.ledger.Report(node, lists, time.Now())
+	f.dispatch(t.Context())
+	require.Empty(t, n.outbox, "it was answered")
+
+	f.report("b", 2, 0)
+	f.confirm(time.Now())
+	f.contacts.computedAt = time.Time{}
+	f.ledger.AddJob(fleet.Job{ID: "job", Steps: []fleet.Step{{Count: 1}}}, false, time.Now())
+	f.ledger.Start(f.ledger.Jobs["job"].Occurrences[0].Steps[0].Tasks[0], node, "", time.Now())
+	f.dispatch(t.Context())
+	second := (<-n.outbox).GetOrders()
+	require.Len(t, second.GetStarts(), 1)
+	require.Equal(t, uint64(1), second.GetReport())
+	require.Positive(t, second.GetLeaseMs())
+}
+
 // Guards against an agent that was started anew, and has forgotten that it followed a later
 // leader, but counts for the quorum of an earlier one.
 func TestAgentStartedAnewCountsOnceTheTermIsConfirmed(t *testing.T) {
--- a/internal/fleet/lead/nodes.go
+++ b/internal/fleet/lead/nodes.go
@@ -37,6 +37,7 @@
 	cancel        context.CancelFunc // of the session
 	lastReport    uint64             // number of the latest report of the session; 0: none
 	pendingReport uint64             // number of the latest report not yet answered with a lease; 0: none
+	answered      uint64             // number of the latest report that was answered, with a lease or without; 0: none
 	grantedAt     time.Time          // when the latest lease was granted
 	specs         *link.Specs        // that the agent keeps; nil: none
 	contact       quorum.Contact
@@ -71,18 +72,15 @@
 
 // grantDue reports whether the latest report is to be answered with a lease now.
 func (n *nodeLink) grantDue(now time.Time) bool {
-	return n.pendingReport > 0 && now.Sub(n.grantedAt) >= grantInterval
+	return n.pendingReport > n.answered && now.Sub(n.grantedAt) >= grantInterval
 }
 
 // send queues orders, with a lease if it is not 0. If the queue is full it ends the
 // session; the agent gets the missed orders in the next one.
 func (n *nodeLink) send(o ledger.Orders, lease time.Duration, m *Metrics) {
 	for _, part := range link.SplitOrders(o) {
-		frame := link.Orders(part, n.pendingReport, lease, n.specs)
-		if n.pendingReport != 0 {
-			n.contact.Answer(n.pendingReport, time.Now())
-		}
-		n.pendingReport, lease = 0, 0
+		frame := link.Orders(part, n.answer(lease), lease, n.specs)
+		lease = 0
 		m.OrderBytes.Add(int64(proto.Size(frame)))
 		select {
 		case n.outbox <- frame:
@@ -93,6 +91,23 @@
 	}
 }
 
+// answer returns the number of the report that the next frame answers, or 0 for none. A report
+// that was answered without a lease, as the leader was not in contact with a quorum, is
+// answered once more with the first one, which the starts in that frame need.
+func (n *nodeLink) answer(lease time.Duration) uint64 {
+	report := n.pendingReport
+	if report > n.answered {
+		n.answered = report
+		n.contact.Answer(report, time.Now())
+	} else if lease == 0 {
+		return 0
+	}
+	if lease > 0 {
+		n.pendingReport = 0
+	}
+	return report
+}
+
 // run keeps a session with the agent open, and reconnects after a failure, until ctx
 // ends or the link is stopped.
 func (n *nodeLink) run(ctx context.Context, l *Leader, name string) {
@@ -145,7 +160,8 @@
 			cancel()
 			return
 		}
-		n.connected, n.outbox, n.cancel, n.lastReport, n.pendingReport, n.specs, n.grantedAt, n.held = true, outbox, cancel, 0, 0, nil, time.Time{}, nil
+		n.connected, n.outbox, n.cancel, n.specs, n.grantedAt, n.held = true, outbox, cancel, nil, time.Time{}, nil
+		n.lastReport, n.pendingReport, n.answered = 0, 0, 0
 		n.contact.Begin(address, sent)
 		l.holdStarts(name, time.Now())
 	}) {
