soak: take leaders and VMs away for good, in series

Cause: processes of the soak are killed and come back at once under the same address, or are cut off for a while. Lasting tasks that waited for over 10 s after a leader's VM and a worker's VM were gone for good (docs/incidents/inherited-tasks-wait-after-takeovers.md) went unseen. The judge counts a lasting task of an accepted job that has no run for over 10 s since the last fault, with room for it. The fleet can hold processes that start later, a VM under the name of another one, and processes that are taken away for good while they are about to start.

--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -74,13 +74,13 @@
 }
 
 // outdatedEntries returns a message for each entry that does not have the newest
-// configuration.
+// configuration and has not been taken away.
 func (f *testFleet) outdatedEntries() []string {
 	client := newProbe()
 	version := f.currentVersion()
 	var out []string
 	for _, p := range f.entries {
-		if !f.hasVersion(client, p, version) {
+		if !p.isAway() && !f.hasVersion(client, p, version) {
 			out = append(out, fmt.Sprintf("%s does not have version %d", p.node, version))
 		}
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -83,6 +84,7 @@
 	size      fleetSize
 	links     map[link]*proxy // of sessions, instead of those of the processes; empty without size.links
 	balancer  *balancer       // nil until callers start
+	failing   atomic.Int32    // index of the executor that fails its lasting runs, plus 1; 0: none
 	versionMu sync.Mutex
 	version   uint64 // version of the newest configuration
 }
@@ -117,7 +119,7 @@
 	f.configure()
 	f.serve(net.JoinHostPort(f.ip(storeIP), fmt.Sprint(storePort)), f.gate)
 	for i := range size.vms {
-		f.addVM(i, i%size.domains)
+		f.addVM(fmt.Sprintf("side-%d", i), i, i%size.domains)
 	}
 	for i := range size.entries {
 		f.entries = append(f.entries, f.addProcess("fleet-entry", fmt.Sprintf("front-%d", i), entryIP+i, i%size.domains, ""))
@@ -187,9 +189,9 @@
 	f.t.Cleanup(func() { _ = server.Close() })
 }
 
-// addVM adds the agent and the executor of a VM.
-func (f *testFleet) addVM(i, domain int) {
-	agent := f.addProcess("fleet-agent", fmt.Sprintf("side-%d", i), agentIP+i, domain, net.JoinHostPort(f.ip(executorIP+i), fmt.Sprint(executorPort)))
+// addVM adds the agent and the executor of the VM with the index i.
+func (f *testFleet) addVM(node string, i, domain int) {
+	agent := f.addProcess("fleet-agent", node, agentIP+i, domain, net.JoinHostPort(f.ip(executorIP+i), fmt.Sprint(executorPort)))
 	f.agents = append(f.agents, agent)
 	capacity := structs.Resources{MilliCPU: 8000, MemoryMB: 16000}
 	f.checker.capacity[agent.node] = capacity
@@ -214,7 +216,12 @@
 // newInstance returns a new instance of an executor. If a run crashes it, another one
 // replaces it.
 func (f *testFleet) newInstance(i int) *standin.Executor {
-	instance := standin.NewExecutorWithBehavior(f.agents[i].node, executorClockRate, f.audit, f.runBehavior)
+	instance := standin.NewExecutorWithBehavior(f.agents[i].node, executorClockRate, f.audit, func(o fleet.StartOrder) (time.Duration, fleet.EndReason) {
+		if f.failing.Load() == int32(i)+1 && strings.Contains(o.Spec, lastingSpec) {
+			return failingRunTime, fleet.EndFailed
+		}
+		return f.runBehavior(o)
+	})
 	go func() {
 		select {
 		case <-instance.CrashedByTask():
@@ -234,7 +241,7 @@
 	store := net.JoinHostPort(f.ip(n+storeProxyIP), fmt.Sprint(storePort))
 	p.store = f.proxy(store, net.JoinHostPort(f.ip(storeIP), fmt.Sprint(f.storePortFor(p))))
 	p.sessions = f.proxy(net.JoinHostPort(f.ip(n+sessionProxyIP), fmt.Sprint(wire.SessionPort)), net.JoinHostPort(p.ip, fmt.Sprint(wire.SessionPort)))
-	env, err := wire.WriteSettings(filepath.Join(f.dir, node+".toml"), wire.Process{
+	env, err := wire.WriteSettings(filepath.Join(f.dir, fmt.Sprintf("%s-%d.toml", node, n)), wire.Process{
 		Node: node, IP: p.ip, Front: role == "fleet-entry", Executor: executor, Store: store,
 	})
 	require.NoError(f.t, err)
@@ -289,8 +296,11 @@
 		return
 	}
 	p.mu.Lock()
-	p.cmd, p.endExpected = cmd, false
+	p.cmd, p.endExpected = cmd, p.away
 	p.starts++
+	if p.away { // since it was about to start
+		_ = cmd.Process.Kill()
+	}
 	p.mu.Unlock()
 	begun()
 	stop := context.AfterFunc(f.ctx, func() { p.signal(syscall.SIGKILL) })
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -111,6 +111,9 @@
 	listedEnds  map[instanceID]int    // not acknowledged yet
 	mostListed  int                   // at a time, of one instance
 	longestStop time.Duration         // for which a run of a cancelled job went on in steady state
+	waits       map[fleet.TaskID]*lastingWait
+	longestWait time.Duration // of a lasting task for a run
+	longestCalm time.Duration // of such a wait since the last fault
 	violations  []string
 	starts      int
 }
@@ -121,6 +124,7 @@
 	return &checker{
 		jobs: map[string]*sentJob{}, tasks: map[fleet.TaskID]*taskRecord{},
 		capacity: map[string]structs.Resources{}, used: map[string]structs.Resources{}, voidedEnds: map[instanceID]uint64{}, listedEnds: map[instanceID]int{},
+		waits: map[fleet.TaskID]*lastingWait{},
 	}
 }
 
