ledger: don't count a stored late failure again

Cause: a late end counts a failure without raising the task's ended run. A next leader that reads the same end before the lists of the other VM takes it for the end of the task's run, and counts the failure again. Change: an end that the failures hold already is treated as a late one, which waits for the store only.

--- a/internal/fleet/ledger/end.go
+++ b/internal/fleet/ledger/end.go
@@ -35,7 +35,7 @@
 		return
 	}
 	current := t != nil && t.Current != nil && t.Current.Node == n && t.Current.Number == e.Run
-	other := t != nil && !current && (t.Current != nil || e.Run <= t.EndedRun)
+	other := t != nil && !current && (t.Current != nil || e.Run <= t.EndedRun || hasCounted(t, n, e))
 	if other && e.Reason == fleet.EndFailed {
 		l.countLateFailure(t, n, e, now)
 		return
@@ -114,7 +114,7 @@
 // run, or after another run has ended. This occurs when a new leader reads the
 // lists of several nodes. A run that was closed before does not count.
 func (l *Ledger) countLateFailure(t *Task, n *Node, e fleet.End, now time.Time) {
-	if t.Done || t.Step.Spec.Lasting || slices.Contains(t.closedRuns, e.Run) || slices.Contains(t.failures, failure{e.Run, n.Name}) {
+	if t.Done || t.Step.Spec.Lasting || slices.Contains(t.closedRuns, e.Run) || hasCounted(t, n, e) {
 		l.waitForStore(t.Step.Job, n, e) // the first listing of the end may not be stored yet
 		return
 	}
@@ -122,6 +122,12 @@
 	l.countFailure(t, n, e.Run, now)
 }
 
+// hasCounted reports whether an end is that of a failed run that counts as an attempt, which
+// the stored progress may hold although no run of that number is known to have ended.
+func hasCounted(t *Task, n *Node, e fleet.End) bool {
+	return e.Reason == fleet.EndFailed && slices.Contains(t.failures, failure{e.Run, n.Name})
+}
+
 // markDone marks a task as done, and opens the steps that waited for it or finishes
 // the job.
 func (l *Ledger) markDone(t *Task, now time.Time) {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -190,6 +190,29 @@
 	require.Equal(t, []fleet.TaskID{id}, next.ready())
 }
 
+// Guards against the same of a run that ended beside another one of its number, by a leader
+// that did not know of it.
+func TestStoredLateFailureIsNotCountedAgain(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	id := taskOf("job")
+	w.add("job", false, one())
+	w.list("a", nil)
+	w.start("a")
+	failed := w.end("b", id, 1, fleet.EndFailed)
+	w.list("b", nil, failed)
+	records, err := w.ledger.Dirty(10)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+
+	next := newFixture(t, "a", "b")
+	job := next.add("job", true, one())
+	require.NoError(t, next.ledger.Restore("job", records[0].Value, 9, next.now))
+	next.list("b", nil, failed)
+	require.Empty(t, job.Final)
+	next.list("a", nil, next.end("a", id, 1, fleet.EndFailed))
+	require.Equal(t, Failed, job.Final, "the other run failed too")
+}
+
 // Guards against a start elsewhere while an executor that does not answer may
 // still run the task for an earlier leader.
 func TestInheritedTaskWaitsForUnknownExecutors(t *testing.T) {
