--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -69,12 +69,15 @@
 	faultReplacedUnconfirmed = false // a new instance counts in a session without a confirmation of the term
 	faultLocatedByItsEnd     = false // a listed end shows that no earlier leader has started the task again
 	faultStartsOutOfContact  = false // starts need no contact
+	faultNothingLeft         = false // a leader states that no lease of those before it lasts
+	faultOwnForgotten        = false // a leader leaves out the leases that it has granted without a set
 )
 
 // modelBounded counts the takeovers that were settled before leases had to have ended without
 // the word of agents, modelLocated the starts of located tasks before their takeover was settled,
-// and modelSurveyed the takeovers that were settled by lists of an earlier session.
-var modelBounded, modelLocated, modelSurveyed int
+// modelSurveyed the takeovers that were settled by lists of an earlier session, and modelLeft the
+// leaders that learned of no end of earlier leases but by what the last one had stated.
+var modelBounded, modelLocated, modelSurveyed, modelLeft int
 
 // modelExpired counts the orders that have ended by their deadline in all explorations, and
 // modelCounted the runs that were closed by the leader's count during a session.
@@ -106,6 +109,8 @@
 	held      map[string]time.Time
 	longest   time.Duration // maxLease without the word of agents
 	earlier   []quorum.Set
+	own       []quorum.Set  // of the last leader
+	left      time.Duration // of the leases of those before it
 	sets      quorum.Sets
 	contacts  map[string]*quorum.Contact
 	heard     map[string]time.Time
@@ -125,6 +130,7 @@
 	// answered is the latest report whose answer the agent has received.
 	introduced, read bool // the first report was sent, and was read
 	answered         uint64
+	replied          uint64 // latest report that the leader has answered
 }
 
 type termsReport struct {
@@ -176,11 +182,13 @@
 	jobs      []fleet.Job
 	stored    map[string][]byte
 	quorums   []quorum.Set // of the record of the latest term
-	alone     bool         // the same: no lease of an earlier leader lasts
-	exclusive bool         // the latest term has ended with a record that no leader orders starts
-	processes uint64       // of agents, started until now
-	moves     int          // of agents to other addresses
-	calm      bool         // no faults any more
+	own       []quorum.Set // of the record, as left
+	left      time.Duration
+	alone     bool   // the same: no lease of an earlier leader lasts
+	exclusive bool   // the latest term has ended with a record that no leader orders starts
+	processes uint64 // of agents, started until now
+	moves     int    // of agents to other addresses
+	calm      bool   // no faults any more
 }
 
 func newTermsModel(t *rapid.T, vms int) *termsModel {
@@ -188,7 +196,11 @@
 	for _, x := range m.executors {
 		m.agents = append(m.agents, m.newAgent(x))
 	}
-	if rapid.IntRange(0, 3).Draw(t, "quorums") > 0 { // no leader was before
+	switch rapid.IntRange(0, 5).Draw(t, "quorums") { // no leader was before
+	case 0:
+	case 1, 2:
+		m.own, m.left = []quorum.Set{quorum.New(m.addresses())}, termsLongest(termsGrantGrace)
+	default:
 		m.quorums = []quorum.Set{quorum.New(m.addresses())}
 	}
 	m.elect(termsLongest(termsGrantGrace))
@@ -219,7 +231,7 @@
 
 // elect begins a term, whose leader knows only what is stored.
 func (m *termsModel) elect(maxLease time.Duration) {
-	l := &termsLeader{term: 1, began: m.now, confirmed: m.now, maxLease: maxLease, sessions: map[string]*termsSession{}, held: map[string]time.Time{}, longest: maxLease, earlier: m.quorums, sets: quorum.Inherit(m.quorums, m.now), contacts: map[string]*quorum.Contact{}, heard: map[string]time.Time{}}
+	l := &termsLeader{term: 1, began: m.now, confirmed: m.now, maxLease: maxLease, sessions: map[string]*termsSession{}, held: map[string]time.Time{}, longest: maxLease, earlier: m.quorums, own: m.own, left: m.left, sets: quorum.Inherit(m.quorums, m.own, m.now), contacts: map[string]*quorum.Contact{}, heard: map[string]time.Time{}}
 	if n := len(m.leaders); n > 0 {
 		l.term = m.leaders[n-1].term + 1
 	}
@@ -245,6 +257,7 @@
 			modelCounted++
 		}
 	}})
+	m.own = nil
 	m.tracef("term %d begins", l.term)
 	for _, x := range m.executors {
 		l.ledger.AddNode(x.name)
@@ -258,7 +271,7 @@
 	}
 	l.exclusive, m.exclusive, m.alone = m.exclusive, false, false
 	if rapid.IntRange(0, 5).Draw(m.t, "earlier version of the leader") == 0 {
-		l.legacy, l.earlier, l.sets, m.quorums = true, nil, quorum.Sets{}, nil
+		l.legacy, l.earlier, l.own, l.sets, m.quorums = true, nil, nil, quorum.Sets{}, nil
 	}
 	m.leaders = append(m.leaders, l)
 	if len(m.leaders) > termsLeaders {
@@ -283,7 +296,8 @@
 	for _, n := range last.ledger.Nodes {
 		left = max(left, n.LeaseEnd().Sub(m.now))
 	}
-	m.quorums, m.exclusive = last.sets.All(), last.exclusive
+	m.quorums, m.own, m.left = last.sets.All(), last.sets.Own(m.contactExpired()), left
+	m.exclusive = last.exclusive
 	m.elect(left)
 	m.endTerm(last)
 }
@@ -814,25 +828,40 @@
 
 // survey bounds the leases of earlier leaders by what agents say.
 func (m *termsModel) survey(l *termsLeader) {
-	if len(l.earlier) == 0 {
-		return
-	}
-	var last time.Time
-	for _, set := range l.earlier {
-		if faultFewerAgents {
-			set = set[:max(1, len(set)-2)]
+	bound := func(sets []quorum.Set, earliest time.Time) bool {
+		var last time.Time
+		for _, set := range sets {
+			if faultFewerAgents {
+				set = set[:max(1, len(set)-2)]
+			}
+			at, ok := set.LastContact(l.heard)
+			if !ok {
+				return false
+			}
+			if at.After(last) {
+				last = at
+			}
 		}
-		at, ok := set.LastContact(l.heard)
-		if !ok {
-			return
+		end := last.Add(termsLongest(termsContactGrace))
+		if len(sets) == 0 {
+			return false
 		}
-		if at.After(last) {
-			last = at
+		if earliest.After(end) {
+			end = earliest
 		}
+		l.maxLease = min(l.maxLease, max(0, end.Sub(l.began)))
+		l.ledger.EndEarlierLeases(end)
+		return true
 	}
-	end := last.Add(termsLongest(termsContactGrace))
-	l.maxLease = min(l.maxLease, max(0, end.Sub(l.began)))
-	l.ledger.EndEarlierLeases(end)
+	bounded := bound(l.earlier, l.began)
+	if before := l.maxLease; bound(l.own, l.began.Add(l.left)) && !bounded && l.maxLease < before {
+		modelLeft++
+	}
+}
+
+// contactExpired returns a time before which no leases were granted that may last.
+func (m *termsModel) contactExpired() time.Time {
+	return m.now.Add(-termsLongest(termsContactGrace))
 }
 
 // record stores the record of the latest term: without the sets that are not needed any more,
@@ -847,7 +876,11 @@
 		return
 	}
 	if alone {
-		l.sets.Expire(m.now.Add(-termsLongest(termsContactGrace)))
+		l.sets.Expire(m.contactExpired())
+	}
+	m.left = max(0, l.maxLease-m.now.Sub(l.began))
+	if faultNothingLeft {
+		m.left = 0
 	}
 	var agents []string
 	m.contactLeft(l)
@@ -863,7 +896,7 @@
 		}
 	}
 	if len(agents) == 0 && older == 0 || !m.calm && !rapid.Bool().Draw(m.t, "next set") {
-		m.quorums = l.sets.All()
+		m.quorums, m.own = l.sets.All(), l.sets.Own(m.contactExpired())
 		return
 	}
 	next := quorum.New(agents)
@@ -872,7 +905,10 @@
 	}
 	m.tracef("term %d grants leases by %v", l.term, next)
 	if !faultSetNotStored {
-		m.quorums = l.sets.AllAfter(next)
+		m.quorums, m.own = l.sets.AllAfter(next), l.sets.OwnAfter(next, m.contactExpired())
+	}
+	if faultOwnForgotten {
+		m.own = []quorum.Set{next}
 	}
 	if m.calm || rapid.Bool().Draw(m.t, "set stored") || faultSetNotStored {
 		l.sets.Replace(next, m.now)
@@ -918,12 +954,18 @@
 		slices.SortStableFunc(f.Stops, func(a, b RunRef) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
 		if s.answer != nil {
 			left := time.Duration(float64(min(termsGrantGrace-m.now.Sub(l.confirmed), contact)) * fleet.ClockRate)
-			f.answer = *s.answer
-			l.contacts[x.name].Answer(s.answer.number, m.now)
-			if f.ttl = min(termsLease, left); f.ttl > 0 && !faultGrantNotCounted {
-				n.Granted(m.now.Add(termsLongest(f.ttl)))
+			f.ttl = min(termsLease, left)
+			if s.answer.number > s.replied {
+				s.replied = s.answer.number
+				l.contacts[x.name].Answer(s.replied, m.now)
+				f.answer = *s.answer
+			}
+			if f.ttl > 0 { // also the answer to a report that was answered without a lease
+				f.answer, s.answer = *s.answer, nil
+				if !faultGrantNotCounted {
+					n.Granted(m.now.Add(termsLongest(f.ttl)))
+				}
 			}
-			s.answer = nil
 		}
 		if !s.left {
 			s.frames = append(s.frames, f)
@@ -1191,9 +1233,9 @@
 // leaders lead at a time.
 func TestExploreLeadersBesideEachOther(t *testing.T) {
 	limitChecks(t, termsChecks)
-	modelStarts, modelExpired, modelCounted, modelBounded, modelLocated, modelSurveyed = 0, 0, 0, 0, 0, 0
+	modelStarts, modelExpired, modelCounted, modelBounded, modelLocated, modelSurveyed, modelLeft = 0, 0, 0, 0, 0, 0, 0
 	defer func() {
-		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count, %d takeovers bounded, %d settled by lists of an earlier session", modelStarts, modelLocated, modelExpired, modelCounted, modelBounded, modelSurveyed)
+		t.Logf("%d starts, %d of located tasks, %d orders ended by their deadline, %d runs by count, %d takeovers bounded, %d settled by lists of an earlier session, %d bounded by what the last leader stated", modelStarts, modelLocated, modelExpired, modelCounted, modelBounded, modelSurveyed, modelLeft)
 		require.Greater(t, modelStarts, minTermsStarts)
 		require.Greater(t, modelExpired, minTermsExpired)
 		require.Greater(t, modelCounted, minTermsCounted)
