ledger: let the exploration leave the time without a set of agents

Cause: in the model a leader without a set never counted an agent as in contact, so it stored no first set until one was inherited. Change: confirmations count for the contact also without a set, as in package lead.

--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -774,15 +774,15 @@
 
 // contactLeft returns for how long a leader may grant leases by its contact with agents.
 func (m *termsModel) contactLeft(l *termsLeader) time.Duration {
-	if l.sets.Current() == nil {
-		return termsGrantGrace
-	}
 	received := map[string]time.Time{}
 	for name, c := range l.contacts {
 		if c.Confirm(l.confirmed); !c.At().IsZero() {
 			received[name] = c.At()
 		}
 	}
+	if l.sets.Current() == nil {
+		return termsGrantGrace
+	}
 	contact, ok := l.sets.Current().Contact(received)
 	if !ok {
 		return 0
