--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -63,38 +62,6 @@
 	return n
 }
 
-// HasForeignLease reports whether an executor may have a lease that was granted to the instance
-// before it. It lasts as long as the longest one, whoever is in contact with agents.
-func (l *Ledger) HasForeignLease(now time.Time) bool {
-	for _, n := range l.Nodes {
-		if n.foreignLeaseUntil.After(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// EarlierLeasesEnd returns when the leases of earlier leaders have expired.
-func (l *Ledger) EarlierLeasesEnd() time.Time { return l.earlierUntil }
-
-// EndEarlierLeases records that the leases of earlier leaders have expired at a time, which
-// takes effect if that is earlier than what is known.
-func (l *Ledger) EndEarlierLeases(at time.Time) {
-	if !at.Before(l.earlierUntil) {
-		return
-	}
-	for _, n := range l.Nodes {
-		if n.LeaseUntil.Equal(l.earlierUntil) {
-			n.LeaseUntil = at
-		}
-		if n.grantedUntil.After(n.LeaseUntil) {
-			n.LeaseUntil = n.grantedUntil
-		}
-	}
-	l.earlierUntil = at
-	l.log(Event{What: "earlier leases bounded", Reason: fmt.Sprintf("until %v after the takeover", at.Sub(l.takeover).Round(time.Millisecond))})
-}
-
 // RemoveNode removes a node whose registration has gone. If it has runs, or may have runs
 // of earlier terms, it stays until the lease has expired.
 func (l *Ledger) RemoveNode(name string) {
@@ -233,77 +200,12 @@
 	return unproven
 }
 
-// surveyRuns records that complete lists have shown every run of earlier terms on the instance,
-// if the present session has brought some. While starts are held, the agent and the executor
-// may have been started anew since they followed a later leader, and show nothing of what that
-// one knows.
-func (n *Node) surveyRuns() { n.surveyed = n.surveyed || n.complete && !n.startsHeld }
-
-// runsKnown reports whether every run of earlier terms is known or has ended. Lists count also
-// once the session has ended: the executor refuses the calls of earlier terms since, and an
-// earlier leader orders no starts in a session that began after the election of this one.
-func (n *Node) runsKnown() bool { return n.surveyed || n.lapsed && !n.startsHeld }
-
-// Replaces reports whether a report is of another instance of the executor than the one known.
-func (n *Node) Replaces(r Report) bool {
-	return r.Executor != nil && n.Executor.Instance != "" && r.Executor.Instance != n.Executor.Instance
-}
-
 // StartsHeld reports whether the starts of the node are held.
 func (n *Node) StartsHeld() bool { return n.startsHeld }
 
 // listedSince reports whether current lists of the executor have come at or after a time.
 func (n *Node) listedSince(t time.Time) bool { return n.Listed && !n.ListedAt.Before(t) }
 
-// Takeover is what a takeover that is not settled waits for.
-type Takeover struct {
-	Held   int       // tasks that are ready but may run by the order of an earlier leader
-	Silent []string  // names of the VMs whose runs of earlier terms are not known
-	Until  time.Time // when the last lease of an executor of these has expired
-}
-
-// Takeover returns what the ledger waits for until it is Settled.
-func (l *Ledger) Takeover(now time.Time) Takeover {
-	var t Takeover
-	if l.Settled {
-		return t
-	}
-	for name, n := range l.Nodes {
-		if n.runsKnown() {
-			continue
-		}
-		t.Silent = append(t.Silent, name)
-		if n.LeaseEnd().After(t.Until) {
-			t.Until = n.LeaseEnd()
-		}
-	}
-	slices.Sort(t.Silent)
-	for s := range l.openSteps {
-		if !s.Job.Inherited {
-			continue
-		}
-		for _, task := range s.Tasks {
-			if task.isReady(now) && !l.isLocated(task) {
-				t.Held++
-			}
-		}
-	}
-	return t
-}
-
-// settledBy describes by what the takeover has settled: its duration, and the nodes of which
-// no lists have come.
-func (l *Ledger) settledBy(now time.Time) string {
-	var silent []string
-	for name, n := range l.Nodes {
-		if !n.surveyed {
-			silent = append(silent, name)
-		}
-	}
-	slices.Sort(silent)
-	return fmt.Sprintf("after %v, %d VMs, by expired leases %d %v", now.Sub(l.takeover).Round(time.Millisecond), len(l.Nodes), len(silent), silent[:min(MaxNames, len(silent))])
-}
-
 // applyLists applies the lists of an executor. Partial ones prove no run absent.
 func (l *Ledger) applyLists(n *Node, r Report, now time.Time) {
 	first := !n.Listed
