--- a/internal/soak/taken_test.go
+++ b/internal/soak/taken_test.go
@@ -39,8 +39,8 @@
 	failingLastingJobs = 2 // whose first runs fail, between minFailTime and maxFailTime after their start
 	minFailTime        = 2 * time.Second
 	maxFailTime        = 9 * time.Second
-	// The leader of a new fleet waits 10.4 s for leases of earlier ones before the store holds
-	// by which agents it grants its own.
+	// The leader of a new fleet states by which agents it grants leases 4.7 s after it first
+	// does so.
 	beforeTaken      = 9 * time.Second // of traffic
 	beforeTakenYoung = 1500 * time.Millisecond
 	afterTaken       = 3 * time.Second        // of traffic
