lead: decode the records of the last term's sets once

Cause: earlierQuorums and ownBounds decoded the same two records with the same checks, one after the other at each election; the comment above them named one of two ways only in which the wait is shorter. Change: lastTerm.sets returns both; the comment names both ways.

--- a/internal/fleet/lead/election.go
+++ b/internal/fleet/lead/election.go
@@ -102,8 +102,7 @@
 	}
 	ended, endKnown := e.endOfLastLeader(ctx, last)
 	asked := time.Now()
-	quorums := e.earlierQuorums(last)
-	own, left := e.ownBounds(last)
+	quorums, own, left := last.sets()
 	record, err := e.opts.termRecord(termState{quorums: quorums})
 	if err != nil {
 		return err
--- a/internal/fleet/lead/predecessor.go
+++ b/internal/fleet/lead/predecessor.go
@@ -14,8 +14,9 @@
 
 // A leader that ends without a handover record may be cut off from the store only, and
 // then grants leases for termGrace. The next one waits as long for VMs out of reach, unless
-// the entry that led says that it does not lead any more: it has been started anew, or has
-// ended its term. Then no lease is granted later than that.
+// the agents show that the leases have ended (contact.go), or the entry that led says that it
+// does not lead any more: it has been started anew, or has ended its term. Then no lease is
+// granted later than that.
 
 // lastLeaderTimeout is the time for which a campaign waits for the last leader's answer.
 const lastLeaderTimeout = 300 * time.Millisecond
@@ -109,42 +110,22 @@
 	return &pb.FleetReply{Data: raw}, nil
 }
 
-// earlierQuorums returns the sets of agents by which leases that may last were granted, or
-// nil if some were granted without.
-func (e *Entry) earlierQuorums(last lastTerm) []quorum.Set {
-	if last.handover.Revision == 0 {
-		return nil
-	}
-	var handover *link.Handover
-	if err := json.Unmarshal(last.handover.Value, &handover); err != nil {
-		return nil // predecessor logs it
-	}
-	if handover != nil {
-		return handover.Quorums
-	}
-	var term link.TermRecord
-	if last.term.Revision != last.handover.Revision || json.Unmarshal(last.term.Value, &term) != nil {
-		return nil
-	}
-	return term.Quorums
-}
-
-// ownBounds returns the sets of agents by which the last leader has granted leases that may
-// last, and how long those of the leaders before it may, from now on. There are no sets if some
-// leases of the last one were granted without.
-func (e *Entry) ownBounds(last lastTerm) (own []quorum.Set, left time.Duration) {
+// sets returns the sets of agents by which leases that may last were granted, by all leaders and
+// by the last one alone, and how long leases of the leaders before it may last from now on.
+// There are no sets where some leases were granted without.
+func (t lastTerm) sets() (all, own []quorum.Set, left time.Duration) {
 	var handover *link.Handover
-	if last.handover.Revision == 0 || json.Unmarshal(last.handover.Value, &handover) != nil {
-		return nil, 0
+	if t.handover.Revision == 0 || json.Unmarshal(t.handover.Value, &handover) != nil {
+		return nil, nil, 0 // predecessor logs what can't be decoded
 	}
 	if handover != nil {
-		return handover.Own, time.Duration(handover.LeaseMs) * time.Millisecond
+		return handover.Quorums, handover.Own, time.Duration(handover.LeaseMs) * time.Millisecond
 	}
 	var term link.TermRecord
-	if last.term.Revision != last.handover.Revision || json.Unmarshal(last.term.Value, &term) != nil {
-		return nil, 0
+	if t.term.Revision != t.handover.Revision || json.Unmarshal(t.term.Value, &term) != nil {
+		return nil, nil, 0
 	}
-	return term.Own, time.Duration(term.LeftMs) * time.Millisecond
+	return term.Quorums, term.Own, time.Duration(term.LeftMs) * time.Millisecond
 }
 
 // predecessor returns the bounds that the handover record states, else those that follow
