lead: one place for whether earlier leases are recorded as expired

Cause: Leader.alone was set beside contacts.stored.alone, always to the same value, and a test had to set both. Change: contacts.stored.alone is the only one. Measured: vet, staticcheck; all tests of internal/fleet and internal/roles pass.

--- a/internal/fleet/lead/contact.go
+++ b/internal/fleet/lead/contact.go
@@ -52,7 +52,7 @@
 
 // termState is what the record of a term says besides its entry.
 type termState struct {
-	alone   bool
+	alone   bool // no lease of an earlier leader lasts
 	quorums []quorum.Set
 	own     []quorum.Set  // of this term
 	left    time.Duration // of leases of earlier terms, if own is not empty
@@ -105,7 +105,7 @@
 // holds for good: an agent that is started anew counts for none of them, as none is confirmed
 // any more.
 func (l *Leader) hearOfEarlierLeaders(address string, m *pb.NodeReport, now time.Time) {
-	if l.alone || len(l.predecessor.quorums)+len(l.predecessor.own) == 0 {
+	if l.contacts.stored.alone || len(l.predecessor.quorums)+len(l.predecessor.own) == 0 {
 		return // surveyEarlierLeaders needs it no more; agents come and go during a term
 	}
 	if _, known := l.contacts.heard[address]; !known && m.GetProcess() != 0 {
@@ -115,7 +115,7 @@
 
 // surveyEarlierLeaders bounds the leases of earlier leaders by what agents say.
 func (l *Leader) surveyEarlierLeaders() {
-	if l.alone {
+	if l.contacts.stored.alone {
 		return
 	}
 	if end, ok := l.endOfLeases(l.predecessor.quorums); ok {
@@ -198,7 +198,6 @@
 				return
 			}
 			c.revision, c.stored, c.unsure = revision, state, false
-			l.alone = state.alone
 			if change {
 				c.sets.Replace(next, time.Now())
 				c.computedAt = time.Time{}
--- a/internal/fleet/lead/contact_test.go
+++ b/internal/fleet/lead/contact_test.go
@@ -276,7 +276,7 @@
 	f.predecessor.quorums = []quorum.Set{quorum.New([]string{"a", "b"})}
 	f.report("a", 1, time.Second)
 	require.Len(t, f.contacts.heard, 1)
-	f.alone = true
+	f.contacts.stored.alone = true
 	f.report("b", 2, time.Second)
 	require.Len(t, f.contacts.heard, 1)
 }
--- a/internal/fleet/lead/handover_test.go
+++ b/internal/fleet/lead/handover_test.go
@@ -63,8 +63,7 @@
 func TestRecordOfATermCoversLeasesByTheClockOfAnotherInstance(t *testing.T) {
 	l := newLoadingLeader(t, &slowStore{}, 0)
 	l.contacts = newContacts(predecessor{quorums: []quorum.Set{quorum.New([]string{"a"})}}, l.began, l.term)
-	l.exclusiveSince, l.alone = 2, true
-	l.contacts.stored.alone = true
+	l.exclusiveSince, l.contacts.stored.alone = 2, true
 	recorded := func(after time.Duration) link.TermRecord {
 		l.maintainRecord(t.Context(), l.began.Add(after))
 		if l.contacts.recording {
@@ -162,7 +161,7 @@
 		l.maintainRecord(t.Context(), l.began.Add(c.age))
 	}
 	l.handle(<-l.events)
-	require.True(t, l.alone)
+	require.True(t, l.contacts.stored.alone)
 	item, err := l.opts.Store.Get(t.Context(), fleet.TermKey)
 	require.NoError(t, err)
 	require.JSONEq(t, `{"address":"","alone":true}`, string(item.Value))
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -109,7 +109,6 @@
 	offsetThen  time.Duration // wallOffset at verifiedAt
 	began       time.Time
 	predecessor predecessor
-	alone       bool // it is recorded that no lease of an earlier leader lasts
 	contacts    contacts
 
 	loaded          chan struct{} // closed once the state is read from the store
