--- a/review/harness2/cases.go
+++ b/review/harness2/cases.go
@@ -290,7 +290,7 @@
 		f.submit(feeds, "feed x", step{"count": machines, "cpu": 3200, "mem_mb": 12500, "estimate_ms": 300, "long_running": true, "image": "f1", "max_per_server": 1})
 	}
 	time.Sleep(3 * time.Second)
-	j := f.submit(rosters, "standing x", step{"count": machines, "cpu": 1800, "mem_mb": 11000, "estimate_ms": 300, "long_running": true, "fills": true, "image": "s1", "max_per_server": 1, "may_miss": mayMiss})
+	j := f.submit(rosters, "standing x", step{"count": machines, "cpu": 1800, "mem_mb": 12000, "estimate_ms": 300, "long_running": true, "fills": true, "image": "s1", "max_per_server": 1, "may_miss": mayMiss})
 	time.Sleep(4 * time.Second)
 	var wait sync.WaitGroup
 	check := func() {
