--- a/review/harness2/executor.go
+++ b/review/harness2/executor.go
@@ -17,6 +17,10 @@
 // work says how long a run takes and how it ends. A duration of 0 stands for a run that lasts.
 type work func(task, spec string) (time.Duration, string)
 
+// stopObserver is told of each order to stop a run that is there: how long ago the run has
+// started, and whether a list has shown it.
+type stopObserver func(task string, age time.Duration, listed bool)
+
 // executor is a stand-in for the executor of one machine. Its lives follow each other at one
 // address and under one id.
 type executor struct {
@@ -27,6 +31,7 @@
 	log                                              *record
 
 	mu       sync.Mutex
+	onStop   stopObserver // nil: none
 	life     *life
 	server   *http.Server
 	draining bool
@@ -51,6 +56,7 @@
 	number   int
 	started  time.Time
 	takes    time.Duration // 0: it lasts
+	listed   bool
 	stopping bool
 	timer    *time.Timer
 }
@@ -72,6 +78,12 @@
 	return nil
 }
 
+func (x *executor) setOnStop(f stopObserver) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.onStop = f
+}
+
 // crash ends the life: connections break, runs are gone, nothing is told to anyone.
 func (x *executor) crash() { x.finish("executor crashes") }
 
@@ -259,8 +271,12 @@
 	x.mu.Lock()
 	l.closed[o.Task] = max(l.closed[o.Task], o.Run)
 	r := l.runs[o.Task]
+	var notify func()
 	if r != nil && r.number <= o.Run && !r.stopping {
 		r.stopping = true
+		if f, age, listed := x.onStop, time.Since(r.started), r.listed; f != nil {
+			notify = func() { f(o.Task, age, listed) }
+		}
 		time.AfterFunc(x.stopTime, func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
@@ -271,6 +287,9 @@
 	}
 	x.mu.Unlock()
 	respond(w, http.StatusOK, map[string]any{"clock_ms": l.clock().Milliseconds(), "born": l.born.UnixMilli()})
+	if notify != nil {
+		go notify()
+	}
 }
 
 func (x *executor) hold(l *life, w http.ResponseWriter, o order) {
@@ -296,6 +315,7 @@
 	}
 	running := [][]any{}
 	for task, r := range l.runs {
+		r.listed = true
 		running = append(running, []any{task, r.number, "", r.percent(), 1})
 	}
 	ended := append([][]any{}, l.ends[:min(len(l.ends), maxListedEnds)]...)
