--- /dev/null
+++ b/review/harness3/main.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"vanillalock.example/vanillalock/internal/fleet"
+	standin "vanillalock.example/vanillalock/internal/standin/fleet"
+)
+
+// Exit codes of a script.
+const (
+	held     = 0
+	broken   = 1
+	notRun   = 2
+	runLimit = 110 * time.Second
+)
+
+// cases are the disruptions with their checks. Each returns what has broken the rule, or "".
+var cases = map[string]func(ctx context.Context, r *record, trouble bool) (string, error){
+	"crashes": crashes,
+	"label":   label,
+	"cancel":  cancel,
+}
+
+// events records the starts and ends of runs.
+type events struct {
+	record *record
+	mu     sync.Mutex
+	starts []standin.Event
+	ends   []standin.Event
+	acked  []standin.Event
+	at     map[[2]any]time.Time // of the first start of a run
+}
+
+func (e *events) Started(ev standin.Event) {
+	e.record.line("start %s run %d on %s, term %d", ev.Task, ev.Run, ev.Executor, ev.Fence)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.starts = append(e.starts, ev)
+	if key := [2]any{ev.Task, ev.Run}; e.at[key].IsZero() {
+		e.at[key] = time.Now()
+	}
+}
+
+func (e *events) Ended(ev standin.Event) {
+	how := ev.Reason.String()
+	if ev.Reason == fleet.EndUnknown {
+		how = "ended with its executor"
+	}
+	e.record.line("end %s run %d on %s: %s", ev.Task, ev.Run, ev.Executor, how)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ends = append(e.ends, ev)
+}
+
+func (e *events) Acknowledged(ev standin.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.acked = append(e.acked, ev)
+}
+
+func (e *events) Lapsed(ev standin.Event) { e.record.line("lease of %s lapses", ev.Executor) }
+
+// failedEnds returns how many runs of a job have ended as failed.
+func (e *events) failedEnds(job string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, ev := range e.ends {
+		if ev.Task.Job == job && ev.Reason == fleet.EndFailed {
+			n++
+		}
+	}
+	return n
+}
+
+func main() { os.Exit(runCase()) }
+
+func runCase() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
+		return notRun
+	}
+	out, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return notRun
+	}
+	defer func() { _ = out.Close() }()
+	r := &record{began: time.Now(), out: out}
+	trouble := os.Getenv("TROUBLE") != "0"
+	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	defer cancel()
+	what, err := cases[os.Args[1]](ctx, r, trouble)
+	verdict, code := "the rule held", held
+	switch {
+	case err != nil:
+		verdict, code = fmt.Sprintf("the case could not run: %v", err), notRun
+	case what != "":
+		verdict, code = "the rule is broken: "+what, broken
+	}
+	r.line("%s", verdict)
+	_, _ = io.WriteString(os.Stdout, verdict+"\n")
+	return code
+}
+
+// start starts a fleet, waits until it is ready and runs body.
+func start(ctx context.Context, r *record, entries, vms int, kind func(i int) string, behavior func(*vm, fleet.StartOrder) (time.Duration, fleet.EndReason), body func(*fleetUnderTest, *events) (string, error)) (string, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ev := &events{record: r, at: map[[2]any]time.Time{}}
+	f, err := newFleet(ctx, r, entries, vms, ev, behavior)
+	if err != nil {
+		cancel()
+		return "", err
+	}
+	defer f.close()
+	defer cancel()
+	for i, v := range f.vms {
+		f.begin(v, kind(i))
+	}
+	if err := f.awaitReady(20 * time.Second); err != nil {
+		return "", err
+	}
+	return body(f, ev)
+}
