--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -94,11 +96,15 @@
 	defer func() { _ = out.Close() }()
 	r := &record{began: time.Now(), out: out}
 	trouble := os.Getenv("TROUBLE") != "0"
-	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
+	signaled, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(signaled, runLimit)
 	defer cancel()
 	what, err := cases[os.Args[1]](ctx, r, trouble)
 	verdict, code := "the rule held", held
 	switch {
+	case signaled.Err() != nil:
+		verdict, code = "the case was ended by a signal", notRun
 	case err != nil:
 		verdict, code = fmt.Sprintf("the case could not run: %v", err), notRun
 	case what != "":
