Review case 11: an accepted job is shown as failed after crashes of executors

Executors crash one after the other, drawn at random; a lasting task whose executors crash four times in a row, each within 10 s of its start, ends its job as failed, although none of its runs ends as failed.

--- a/review/harness3/crashes.go
+++ b/review/harness3/crashes.go
@@ -13,11 +13,11 @@
 // The disruption of the case crashes: one executor of eight is down at a time.
 const (
 	crashVMs      = 8
-	crashEvery    = 2500 * time.Millisecond
-	crashDowntime = 2 * time.Second
-	crashSpan     = 75 * time.Second
-	feeds         = 4
-	feedTasks     = 8
+	crashEvery    = 2 * time.Second
+	crashDowntime = 1500 * time.Millisecond
+	crashSpan     = 76 * time.Second
+	feeds         = 8
+	feedTasks     = 12
 )
 
 // crashes submits lasting jobs, lets executors crash that no task has harmed, one after the other
@@ -33,7 +33,7 @@
 		ids := make([]string, feeds)
 		for i := range ids {
 			ids[i] = newID()
-			job := submission{Spec: fmt.Sprintf("feed %d", i), Steps: []step{{Count: feedTasks, CPU: 1500, MemMB: 3000, EstimateMs: 30000, Lasting: true, Image: "feed"}}}
+			job := submission{Spec: fmt.Sprintf("feed %d", i), Steps: []step{{Count: feedTasks, CPU: 1000, MemMB: 2000, EstimateMs: 30000, Lasting: true, Image: "feed"}}}
 			if !f.submit(ids[i], job) {
 				return "", fmt.Errorf("job %s was not accepted", ids[i])
 			}
