Review case 11: a ping of another writer makes a sound executor unusable

One ping with missing fields, under the id and the start of an executor at work, replaces its labels; the executor's own pings are ignored from then on, and accepted jobs that need its label never run.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,4 +5,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/vanillalock ] && [ -x target/review3/harness3 ] || exit 2
-TROUBLE=${TROUBLE:-1} exec target/review3/harness3 crashes review/11/record.txt
+TROUBLE=${TROUBLE:-1} exec target/review3/harness3 writer review/11/record.txt
