--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -48,6 +48,7 @@
 	ip       string // of the agent
 	address  string // of the executor
 	capacity structs.Resources
+	lives    int
 	current  atomic.Pointer[wire.Executor] // its present life; nil: none
 }
 
@@ -64,6 +65,9 @@
 	client   http.Client
 	record   *record
 	wait     sync.WaitGroup
+
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
 }
 
 // record is the file record.txt.
@@ -95,7 +99,7 @@
 	}
 	f := &fleetUnderTest{
 		ctx: ctx, dir: dir, store: standin.NewStore(), audit: standin.NewAudit(), behavior: behavior, record: r,
-		client: http.Client{Timeout: callerWait},
+		client: http.Client{Timeout: callerWait}, processes: map[string]*exec.Cmd{},
 	}
 	f.audit.SetObserver(observer)
 	var listener net.Listener
@@ -188,15 +192,54 @@
 	return nil
 }
 
-// begin starts a VM's executor, of the given kind.
-func (f *fleetUnderTest) begin(v *vm, kind string) {
+// begin starts a new life of a VM's executor: a new ID at the same address, of the given kind.
+// A task may crash it; then the next life begins after the given downtime.
+func (f *fleetUnderTest) begin(v *vm, kind string, downtime time.Duration) {
+	v.lives++
+	name := fmt.Sprintf("%s/%d", v.name, v.lives)
+	instance := standin.NewExecutorWithBehavior(name, 1, f.audit, func(o fleet.StartOrder) (time.Duration, fleet.EndReason) { return f.behavior(v, o) })
 	x := wire.NewExecutor(fleet.Executor{
-		ID: "i-" + v.name, Address: v.address, Pool: poolName, FailureDomain: "bezigrad",
+		ID: fmt.Sprintf("i-%s-%d", v.name, v.lives), Address: v.address, Pool: poolName, FailureDomain: "bezigrad",
 		Capacity: v.capacity, Labels: []string{kind, "r1"},
 	}, net.JoinHostPort(v.ip, fmt.Sprint(wire.ControlPort)))
-	x.StartInstance(standin.NewExecutorWithBehavior(v.name, 1, f.audit, func(o fleet.StartOrder) (time.Duration, fleet.EndReason) { return f.behavior(v, o) }))
+	x.StartInstance(instance)
 	v.current.Store(x)
-	f.record.line("executor %s begins, kind %s", v.name, kind)
+	f.record.line("executor %s begins, kind %s", name, kind)
+	f.wait.Go(func() {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-instance.CrashedByTask():
+		}
+		v.current.Store(nil)
+		f.record.line("executor %s has been crashed by a task", name)
+		sleep(f.ctx, downtime)
+		if f.ctx.Err() == nil {
+			f.begin(v, kind, downtime)
+		}
+	})
+}
+
+// killLeader kills the entry that leads, and returns its name; "" if none does.
+func (f *fleetUnderTest) killLeader() string {
+	item, err := f.store.Get(f.ctx, fleet.LeaderKey)
+	if err != nil {
+		return ""
+	}
+	var leader struct {
+		Node string `json:"node"`
+	}
+	if err := json.Unmarshal(item.Value, &leader); err != nil {
+		return ""
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cmd := f.processes[leader.Node]
+	if cmd == nil || cmd.Process.Kill() != nil {
+		return ""
+	}
+	f.record.line("%s leads and is killed", leader.Node)
+	return leader.Node
 }
 
 // settings are the fields of a small deployment that DEPLOY.md lists, as far as they bear on a
@@ -280,6 +323,9 @@
 		f.record.line("start of %s: %v", node, err)
 		return
 	}
+	f.mu.Lock()
+	f.processes[node] = cmd
+	f.mu.Unlock()
 	stop := context.AfterFunc(f.ctx, func() { _ = cmd.Process.Kill() })
 	err = cmd.Wait()
 	stop()
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -25,6 +25,7 @@
 // cases are the disruptions with their checks. Each returns what has broken the rule, or "".
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (string, error){
 	"writer": writer,
+	"deadly": deadly,
 }
 
 // events records the starts and ends of runs.
@@ -105,7 +106,7 @@
 	defer f.close()
 	defer cancel()
 	for i, v := range f.vms {
-		f.begin(v, kind(i))
+		f.begin(v, kind(i), crashDowntime)
 	}
 	if err := f.awaitReady(20 * time.Second); err != nil {
 		return "", err
