Ask the requirements of a task at every start, also at a repeated one

Cause: pool, label, limit per VM and capacity were asked once, by the planner when it chose the VM. A run whose start is not confirmed stays with its node over a new instance, a new session, a held term and stored crashes, and its order is repeated without a question; only evacuations were asked there.

Change: place.UnmetRequirement has the requirements; the planner's filter and the ledger use it. Ledger.withdrawStarts asks it, and evacuations, for each run that is not confirmed after each report and whenever orders with starts are taken. So no way to a start passes it by. A run that does not pass is stopped, as before in evacuated domains; no proof of the end of a run is changed. It is now asked after the lists of the report are applied, so that a run which these confirm goes on. The other filters of placement come after the requirements, which changes the order in which `explain` counts VMs.

The fixtures of the ledger's tests now state the capacity of their executors: without one, nothing fits.

--- a/internal/fleet/lead/explainstate.go
+++ b/internal/fleet/lead/explainstate.go
@@ -134,7 +134,7 @@
 		out.VM = *known.vm
 		out.Serving = slices.Clone(out.Serving)
 	} else {
-		out.VM = *p.describeVM(name, n, now)
+		out.VM = *p.describeVM(n, now)
 		out.FillingOnly = known != nil && known.vm.FillingOnly
 	}
 	out.Trouble = n.TroubleAt(now)
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -152,7 +152,7 @@
 	l.recordLimit = maxRecords
 	l.lastMaintenance = l.began // by the first one most sessions with agents have begun
 	l.contacts = newContacts(before, l.began, term)
-	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, EarlierVersions: before.mayBeOfEarlierVersion(), LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Log: l.logEvent, Done: l.planner.observeDone})
+	l.ledger = ledger.New(ledger.Options{Takeover: l.began, MaxLease: before.maxLease, EarlierVersions: before.mayBeOfEarlierVersion(), LongestLease: maxLeaseDuration(o.MaxLease), Attempts: l.attempts, Pool: func(j *ledger.Job) string { return l.policyOf(j).Pool }, Log: l.logEvent, Done: l.planner.observeDone})
 	l.planner = newPlanner(l.ledger, l.policyOf, newStartBudget(o.LinkRate), l.holdsSpec)
 	l.planner.waits = newWaits(o.Log, o.Metrics)
 	l.planner.locality = newLocality(o.FarFactor, l.reportPlacement)
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -253,14 +253,10 @@
 	return s.Need.MilliCPU
 }
 
-func stepKey(id fleet.TaskID) place.StepKey {
-	return place.StepKey{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step}
-}
-
 // describeTask describes a task of the ledger for placement.
 func (p *planner) describeTask(t *ledger.Task, now time.Time) place.Task {
 	s := t.Step.Spec
-	out := newTask(s, stepKey(t.ID), p.policy(t.Step.Job).Pool, p.locality.farFactor)
+	out := newTask(s, ledger.StepKeyOf(t.ID), p.policy(t.Step.Job).Pool, p.locality.farFactor)
 	waited := now.Sub(t.ReadySince)
 	out.Forced, out.Overdue = (s.Fills || s.Lasting) && waited > forceAfter, s.Fills && waited > overdueAfter
 	if t.EndedRun > 0 {
@@ -347,7 +343,7 @@
 	known := p.cache[name]
 	if !known.describes(n) {
 		fillingOnly := known != nil && known.vm.FillingOnly
-		known = &vmCacheEntry{vm: p.describeVM(name, n, now), node: n, changes: n.Changes()}
+		known = &vmCacheEntry{vm: p.describeVM(n, now), node: n, changes: n.Changes()}
 		known.vm.FillingOnly = fillingOnly
 		p.cache[name] = known
 	}
@@ -356,12 +352,9 @@
 }
 
 // describeVM describes a node for placement, with the reservations of its runs.
-func (p *planner) describeVM(name string, n *ledger.Node, now time.Time) *place.VM {
-	vm := &place.VM{
-		Name: name, Pool: n.Executor.Pool, Labels: n.Executor.Labels,
-		Capacity: n.Executor.Capacity, Closed: n.Probation(), Trouble: n.TroubleAt(now),
-		Steps: map[place.StepKey]int{}, Jobs: map[string]int{},
-	}
+func (p *planner) describeVM(n *ledger.Node, now time.Time) *place.VM {
+	vm := n.Describe()
+	vm.Closed, vm.Trouble = n.Probation(), n.TroubleAt(now)
 	for _, r := range n.Runs {
 		if r.Task == nil {
 			// The resources of an unwanted run are unknown: treat the VM as full
@@ -372,7 +365,7 @@
 		s := r.Task.Step.Spec
 		// Without Lasting, Take does not add the task to Serving; it is added below,
 		// with its tail latency.
-		t := place.Task{Key: stepKey(r.ID), Need: s.Need, Fills: s.Fills, MaxPerVM: s.MaxPerVM}
+		t := place.Task{Key: ledger.StepKeyOf(r.ID), Need: s.Need, Fills: s.Fills, MaxPerVM: s.MaxPerVM}
 		vm.Take(&t, expectedUse(s))
 		if s.Lasting {
 			vm.Jobs[r.ID.Job]++
@@ -384,7 +377,7 @@
 	for _, s := range serving {
 		vm.Serving = append(vm.Serving, place.ServingTask{Image: s.Image, Level: float64(s.Tail) / float64(s.Target)})
 	}
-	return vm
+	return &vm
 }
 
 // tasksOf returns the filling runs of a VM, the matching descriptions for package
--- a/internal/fleet/ledger/crash_test.go
+++ b/internal/fleet/ledger/crash_test.go
@@ -12,7 +12,7 @@
 
 // listInstance reports complete lists of an instance of a node.
 func (w *fixture) listInstance(name string, instance int, running []fleet.Running, ended ...fleet.End) {
-	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool"}
+	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool", Capacity: roomy}
 	w.ledger.Report(w.node(name), Report{Executor: e, Listed: true, Running: running, Ended: ended}, w.now)
 	w.ledger.Tick(w.now, w.now)
 }
@@ -35,7 +35,7 @@
 	for _, s := range orders.Stops {
 		results = append(results, Result{Task: s.Task, Run: s.Run, Stop: true, Result: fleet.OrderDone})
 	}
-	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool"}
+	e := &fleet.Executor{Instance: fmt.Sprintf("%s@%d", name, instance), Pool: "pool", Capacity: roomy}
 	w.ledger.Report(w.node(name), Report{Executor: e, Results: results}, w.now)
 	var running []fleet.Running
 	for _, s := range orders.Starts {
@@ -280,7 +280,7 @@
 	w.start("a")
 	w.node("a").TakeOrders()
 	for instance := 2; instance < 8; instance++ {
-		w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: fmt.Sprint("a@", instance)}}, w.now)
+		w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: fmt.Sprint("a@", instance), Capacity: roomy}}, w.now)
 	}
 	require.Equal(t, crashes{All: 1, Sole: 1, Near: 1, Run: 1}, job.Occurrences[0].Steps[0].Tasks[0].crashes)
 	require.Empty(t, job.Final)
@@ -363,7 +363,7 @@
 // instance that crashed. The agent has, and reports it to each leader.
 func TestCrashUnderAnEarlierLeaderIsReportedByTheAgent(t *testing.T) {
 	report := Report{
-		Executor: &fleet.Executor{Instance: "a@2", Pool: "pool"},
+		Executor: &fleet.Executor{Instance: "a@2", Pool: "pool", Capacity: roomy},
 		Results: []Result{
 			{Task: taskOf("deadly"), Run: 3, Result: fleet.OrderCrashed}, {Task: taskOf("late"), Run: 2, Result: fleet.OrderCrashedLater},
 		},
@@ -392,7 +392,7 @@
 	next.crash("a", 3)
 	require.Equal(t, crashes{All: 2, Sole: 2, Near: 2, Run: 4}, task.crashes)
 	report.Results = []Result{{Task: task.ID, Run: 5, Result: fleet.OrderCrashed}}
-	report.Executor = &fleet.Executor{Instance: "a@3", Pool: "pool"}
+	report.Executor = &fleet.Executor{Instance: "a@3", Pool: "pool", Capacity: roomy}
 	next.ledger.Report(next.node("a"), report, next.now)
 	require.Equal(t, 2, task.crashes.All, "this leader has seen the crash itself")
 }
--- a/internal/fleet/ledger/evacuation.go
+++ b/internal/fleet/ledger/evacuation.go
@@ -4,10 +4,7 @@
 	"slices"
 )
 
-// No run is started in an evacuated failure domain. Runs that are confirmed go on. A start
-// that is not confirmed may still be carried out late or repeated, so its run is stopped:
-// an executor does not start a run that was stopped. The task is ready again once the end
-// of the run, or its absence, is known.
+// No run is started in an evacuated failure domain: withdrawStarts has the rule.
 
 // maxDomains bounds the failure domains that are noted of an instance. Only announcements
 // of other writers name more than one.
@@ -38,16 +35,3 @@
 		n.domains = append(n.domains, d)
 	}
 }
-
-// withdrawStarts stops the runs of a node that are not confirmed if it is evacuated.
-func (l *Ledger) withdrawStarts(n *Node) {
-	if !l.IsEvacuated(n) {
-		return
-	}
-	for _, r := range n.Runs {
-		if r.State == Starting {
-			l.Stop(r, "failure domain evacuated")
-			l.log(Event{What: "start withdrawn", Task: r.ID, Run: r.Number, Node: n.Name, Reason: "failure domain evacuated"})
-		}
-	}
-}
--- a/internal/fleet/ledger/evacuation_test.go
+++ b/internal/fleet/ledger/evacuation_test.go
@@ -11,7 +11,7 @@
 // listIn reports complete lists of an instance of a node's executor in a failure domain.
 func (w *fixture) listIn(name, instance, domain string, running []fleet.Running, ended ...fleet.End) {
 	e := w.node(name).Executor
-	e.Instance, e.FailureDomain = instance, domain
+	e.Instance, e.FailureDomain, e.Capacity = instance, domain, roomy
 	w.ledger.Report(w.node(name), Report{Executor: &e, Listed: true, Running: running, Ended: ended}, w.now)
 	w.ledger.Tick(w.now, w.now)
 }
--- a/internal/fleet/ledger/explore_terms_test.go
+++ b/internal/fleet/ledger/explore_terms_test.go
@@ -495,7 +495,7 @@
 		return
 	}
 	if a.known {
-		r.Executor = &fleet.Executor{Instance: a.x.instanceOfAgent(), Pool: "pool", Draining: a.draining}
+		r.Executor = &fleet.Executor{Instance: a.x.instanceOfAgent(), Pool: "pool", Capacity: roomy, Draining: a.draining}
 		if a.foreign {
 			r.Executor.Instance = a.x.name + "@foreign"
 		}
--- a/internal/fleet/ledger/explore_test.go
+++ b/internal/fleet/ledger/explore_test.go
@@ -151,7 +151,7 @@
 	for _, id := range sortedTasks(x.running) {
 		running = append(running, fleet.Running{Task: id, Run: x.running[id]})
 	}
-	e := &fleet.Executor{Instance: x.instance(), Pool: "pool"}
+	e := &fleet.Executor{Instance: x.instance(), Pool: "pool", Capacity: roomy}
 	m.ledger.Report(m.node(x), Report{Executor: e, Listed: true, Running: running, Ended: slices.Clone(x.ended), Results: m.answerListed(x)}, m.now)
 	until := m.now.Add(modelLease)
 	m.node(x).LeaseUntil = until
@@ -234,7 +234,7 @@
 	}
 	result := m.carryOut(x, o, live)
 	if live && answered {
-		e := &fleet.Executor{Instance: x.instanceOfAgent(), Pool: "pool"}
+		e := &fleet.Executor{Instance: x.instanceOfAgent(), Pool: "pool", Capacity: roomy}
 		m.ledger.Report(m.node(x), Report{Executor: e, Results: []Result{{Task: o.start.Task, Run: o.start.Run, Stop: o.stop, Result: result}}}, m.now)
 	}
 }
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -175,6 +175,7 @@
 	// longestLease is as in Options.
 	longestLease time.Duration
 	maxAttempts  func(*Job) int
+	pool         func(*Job) string // as in Options
 	log          func(Event)
 	done         func(*Run, time.Duration)
 	scheduled    []*Occurrence      // of jobs that repeat, not due yet, by due time
@@ -200,7 +201,10 @@
 	LongestLease time.Duration
 	// Attempts returns the number of failed runs of a task at which the job fails.
 	Attempts func(*Job) int
-	Log      func(Event)
+	// Pool returns the pool whose executors run the tasks of a job now. Unless it is set, any
+	// pool does.
+	Pool func(*Job) string
+	Log  func(Event)
 	// Done, unless nil, is called with each run that has done its task and that this
 	// leader has started from the beginning, and how long it has worked, as time at full
 	// speed.
@@ -211,7 +215,7 @@
 func New(o Options) *Ledger {
 	return &Ledger{
 		Jobs: map[string]*Job{}, Nodes: map[string]*Node{}, takeover: o.Takeover, earlierUntil: o.Takeover.Add(o.MaxLease), earlierVersions: o.EarlierVersions, longestLease: o.LongestLease,
-		maxAttempts: o.Attempts, log: o.Log, done: o.Done, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
+		maxAttempts: o.Attempts, pool: o.Pool, log: o.Log, done: o.Done, openSteps: map[*Step]struct{}{}, pending: map[*Node]struct{}{},
 		cancelledEarly: map[string]time.Time{}, early: map[string][]earlyEnd{},
 	}
 }
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -14,6 +14,9 @@
 
 const maxLease = 10 * time.Second
 
+// roomy is the capacity of executors that hold all tasks of a test.
+var roomy = structs.Resources{MilliCPU: 8000, MemoryMB: 8000}
+
 // fixture is a ledger whose nodes send the reports that a test builds.
 type fixture struct {
 	t      *testing.T
@@ -35,7 +38,7 @@
 
 // list reports complete lists of a node.
 func (w *fixture) list(name string, running []fleet.Running, ended ...fleet.End) {
-	e := &fleet.Executor{Instance: name + "@1", Pool: "pool", Capacity: structs.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+	e := &fleet.Executor{Instance: name + "@1", Pool: "pool", Capacity: roomy}
 	w.ledger.Report(w.node(name), Report{Executor: e, Listed: true, Running: running, Ended: ended}, w.now)
 	w.ledger.Tick(w.now, w.now)
 }
@@ -415,7 +418,7 @@
 	w.start("a")
 	w.ledger.Report(w.node("a"), Report{Executor: &w.node("a").Executor, Results: []Result{{Task: taskOf("job"), Run: 1, Result: fleet.OrderDone}}}, w.now)
 	w.list("a", runningOf(taskOf("job"), 1))
-	w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: "a@2"}, Listed: true}, w.now)
+	w.ledger.Report(w.node("a"), Report{Executor: &fleet.Executor{Instance: "a@2", Capacity: roomy}, Listed: true}, w.now)
 	w.store()
 	require.Len(t, w.ready(), 1)
 	require.Empty(t, w.node("a").Runs)
@@ -430,7 +433,7 @@
 	w.add("job", false, one())
 	w.start("a")
 	w.node("a").TakeOrders()
-	e := &fleet.Executor{Instance: "a@2"}
+	e := &fleet.Executor{Instance: "a@2", Capacity: roomy}
 	w.ledger.Report(w.node("a"), Report{Executor: e}, w.now)
 	require.Empty(t, w.ready(), "the order may have started the run")
 	w.ledger.Report(w.node("a"), Report{Executor: e, Listed: true}, w.now)
@@ -665,7 +668,7 @@
 	w.add("old", true, one())
 	w.list("a", nil)
 	b := w.node("b")
-	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool"}, Lapsed: true}, w.now)
+	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool", Capacity: roomy}, Lapsed: true}, w.now)
 	w.ledger.Tick(w.now, w.now)
 	require.Len(t, w.ready(), 1)
 }
@@ -676,7 +679,7 @@
 	w.add("old", true, one())
 	w.list("a", nil)
 	b := w.node("b")
-	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool"}, Lapsed: true}, w.now)
+	w.ledger.Report(b, Report{Executor: &fleet.Executor{Instance: "b@1", Pool: "pool", Capacity: roomy}, Lapsed: true}, w.now)
 	w.ledger.Disconnected(b)
 	w.ledger.Tick(w.now, w.now)
 	require.Empty(t, w.ready())
--- a/internal/fleet/ledger/node.go
+++ b/internal/fleet/ledger/node.go
@@ -9,6 +9,7 @@
 // Node is a VM with its executor.
 type Node struct {
 	Name         string
+	ledger       *Ledger
 	Executor     fleet.Executor
 	Listed       bool      // lists have come in the present session of the agent
 	ReportedAt   time.Time // last report
--- a/internal/fleet/ledger/orders.go
+++ b/internal/fleet/ledger/orders.go
@@ -107,6 +107,9 @@
 func (n *Node) TakeOrdersWithoutStarts() (Orders, bool) { return n.takeOrders(true) }
 
 func (n *Node) takeOrders(holdStarts bool) (Orders, bool) {
+	if len(n.orders.Starts) > 0 && !holdStarts {
+		n.ledger.withdrawStarts(n)
+	}
 	o := n.orders
 	n.orders = Orders{}
 	o.Starts = slices.DeleteFunc(o.Starts, func(s fleet.StartOrder) bool { return !n.awaitsStart(s) })
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -57,7 +57,7 @@
 		n.removed = false
 		return n
 	}
-	n := &Node{Name: name, Runs: map[fleet.TaskID]*Run{}, LeaseUntil: l.earlierUntil}
+	n := &Node{Name: name, ledger: l, Runs: map[fleet.TaskID]*Run{}, LeaseUntil: l.earlierUntil}
 	l.Nodes[name] = n
 	return n
 }
@@ -97,7 +97,6 @@
 	}
 	n.Executor = *r.Executor
 	n.noteDomain()
-	l.withdrawStarts(n)
 	if p, lapsed := lapsedByReport(r, now); lapsed {
 		l.expireLease(n, p, now)
 		n.lapsed = true
@@ -109,6 +108,7 @@
 	if r.Listed {
 		l.applyLists(n, r, now)
 	}
+	l.withdrawStarts(n)
 	n.surveyRuns()
 }
 
--- a/internal/fleet/ledger/takeover_test.go
+++ b/internal/fleet/ledger/takeover_test.go
@@ -18,7 +18,7 @@
 	job := modelJob("job")
 	l.AddJob(job, true, start)
 	listed, unlisted := fleet.TaskID{Job: "job"}, fleet.TaskID{Job: "job", Index: 1}
-	e := &fleet.Executor{Instance: "vm@1", Pool: "pool"}
+	e := &fleet.Executor{Instance: "vm@1", Pool: "pool", Capacity: roomy}
 	l.Report(n, Report{Executor: e, Listed: true, Running: []fleet.Running{{Task: listed, Run: 1}}, Ended: []fleet.End{{Number: 1, Task: unlisted, Run: 1, Reason: fleet.EndFailed}}}, start)
 	l.Report(n, Report{Executor: e, Listed: true, Ended: []fleet.End{{Number: 2, Task: listed, Run: 1, Reason: fleet.EndFailed}}}, start.Add(time.Second))
 	l.Tick(start.Add(time.Second), start.Add(time.Second))
@@ -44,7 +44,7 @@
 		l.HoldStarts(n)
 		known = append(known, n)
 		running := []fleet.Running{{Task: fleet.TaskID{Job: "job", Index: i}, Run: 1}}
-		l.Report(n, Report{Executor: &fleet.Executor{Instance: name, Pool: "pool"}, Listed: true, Running: running}, at(0.1))
+		l.Report(n, Report{Executor: &fleet.Executor{Instance: name, Pool: "pool", Capacity: roomy}, Listed: true, Running: running}, at(0.1))
 	}
 	l.Tick(at(0.2), start)
 	for i, n := range known {
@@ -71,7 +71,7 @@
 		return l.Settled
 	}
 	list := func(instance string, partial bool) {
-		l.Report(n, Report{Executor: &fleet.Executor{Instance: instance, Pool: "pool"}, Listed: true, Partial: partial}, start)
+		l.Report(n, Report{Executor: &fleet.Executor{Instance: instance, Pool: "pool", Capacity: roomy}, Listed: true, Partial: partial}, start)
 	}
 	l.HoldStarts(n)
 	list("vm@1", false)
@@ -82,7 +82,7 @@
 	list("vm@1", true)
 	require.False(t, settled(), "ends are missing")
 	list("vm@1", false)
-	l.Report(n, Report{Executor: &fleet.Executor{Instance: "vm@2", Pool: "pool"}}, start)
+	l.Report(n, Report{Executor: &fleet.Executor{Instance: "vm@2", Pool: "pool", Capacity: roomy}}, start)
 	l.Disconnected(n)
 	require.False(t, settled(), "the lists of the next instance have not come")
 	list("vm@2", false)
@@ -98,7 +98,7 @@
 	l.AddNode("silent")
 	n := l.AddNode("vm")
 	l.AddJob(modelJob("job"), true, start)
-	e := &fleet.Executor{Instance: "vm@1", Pool: "pool"}
+	e := &fleet.Executor{Instance: "vm@1", Pool: "pool", Capacity: roomy}
 	run := fleet.TaskID{Job: "job"}
 	l.Report(n, Report{Executor: e, Listed: true, Running: []fleet.Running{{Task: run, Run: 1}}}, start)
 	l.Report(n, Report{Executor: e, Listed: true, Ended: []fleet.End{{Number: 1, Task: run, Run: 1, Reason: fleet.EndFailed}}}, start.Add(time.Second))
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -143,35 +143,37 @@
 // filter is a reason why a VM may not run a task.
 type filter uint8
 
-// Filters in the order in which they are checked.
+// Filters in the order in which they are checked. Those up to filterAccelerators are the
+// requirements.
 const (
 	noFilter filter = iota // the VM may run the task
 	filterPool
-	filterClosed
-	filterTrouble
 	filterLabel
 	filterPerVM
 	filterCPU
 	filterMemory
 	filterAccelerators
+	filterClosed
+	filterTrouble
 	filterInterference
 )
 
-// Fits reports whether a VM may run the task.
-func Fits(t *Task, vm *VM, interference Interference) bool {
-	return firstFilter(t, vm, interference) == noFilter
+// String returns the requirement as it appears in log lines.
+func (f filter) String() string {
+	return [...]string{"", "another pool", "label missing", "limit per VM", "no CPU", "no memory", "no accelerator", "closed", "trouble", "interference"}[f]
 }
 
-// firstFilter returns the first filter that keeps the task off a VM.
-func firstFilter(t *Task, vm *VM, interference Interference) filter {
+// UnmetRequirement returns the first requirement of a task that a VM does not meet, or "" if
+// it meets all: pool, label, limit per VM and capacity. They hold whenever the task starts
+// there, for a first start as for one that is repeated; the other filters only choose among
+// VMs.
+func UnmetRequirement(t *Task, vm *VM) string { return unmetRequirement(t, vm).String() }
+
+func unmetRequirement(t *Task, vm *VM) filter {
 	with := ReservedWith(t, vm.Reserved)
 	switch {
 	case vm.Pool != t.Pool:
 		return filterPool
-	case vm.Closed:
-		return filterClosed
-	case vm.isExcluded() && !t.Forced:
-		return filterTrouble
 	case t.Label != "" && !slices.Contains(vm.Labels, t.Label):
 		return filterLabel
 	case t.MaxPerVM > 0 && vm.Steps[t.Key] >= t.MaxPerVM:
@@ -182,6 +184,26 @@
 		return filterMemory
 	case with.Accelerators > vm.Capacity.Accelerators:
 		return filterAccelerators
+	default:
+		return noFilter
+	}
+}
+
+// Fits reports whether a VM may run the task.
+func Fits(t *Task, vm *VM, interference Interference) bool {
+	return firstFilter(t, vm, interference) == noFilter
+}
+
+// firstFilter returns the first filter that keeps the task off a VM.
+func firstFilter(t *Task, vm *VM, interference Interference) filter {
+	if unmet := unmetRequirement(t, vm); unmet != noFilter {
+		return unmet
+	}
+	switch {
+	case vm.Closed:
+		return filterClosed
+	case vm.isExcluded() && !t.Forced:
+		return filterTrouble
 	case t.Fills && !hasIdleCPU(t, vm):
 		return filterCPU
 	case t.Fills && !isTolerable(t, vm, interference):
