Start tasks as trials on VMs with past failures when nothing else is left

Cause: a VM whose Trouble exceeds the median of the pool takes only tasks that are forced, and only lasting and filling ones are ever forced. So a task with a limit of attempts waits until Trouble has decayed, for up to three half-lives, also if each VM that meets its requirements is such a VM. Two things come together, not one: the VMs that are compared are not those that the task may use, and the wait for another VM has no bound. With the median alone two VMs of a kind, one of them full, would wait as before, and a single VM would take all tasks again right after they have failed, which uses up their attempts within a second.

Change: - Any task is forced after 1.5 s. On a VM with much Trouble it is a trial, unless it lasts: none within 0.25 s of a failure, then one at a time, and one more for each run that has done its task since the last failure and for each second (ledger.Node.Trials). This holds for filling tasks too, which went there without a limit. - VMs with a label, or with accelerators, are compared with each other as well if there are three or more, so that tasks which fail through their own fault do not exclude all of a kind. - A forced short task displaces nothing on its own account, as before.

--- a/internal/fleet/lead/explainstate.go
+++ b/internal/fleet/lead/explainstate.go
@@ -137,7 +137,7 @@
 		out.VM = *p.describeVM(n, now)
 		out.FillingOnly = known != nil && known.vm.FillingOnly
 	}
-	out.Trouble = n.TroubleAt(now)
+	out.Trouble, out.Trials = n.TroubleAt(now), n.Trials(now)
 	out.Steps, out.Jobs = nil, nil // of other jobs than the one to be explained
 	if p.locality.farFactor > 0 {
 		out.Ends = p.expectedEnds(n, now)
--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -23,8 +23,9 @@
 	// assumed to use.
 	assumedUtilization = 0.55
 	// forceAfter is how long a filling task waits for idle CPU before it may be
-	// placed where it gets somewhat less than it asks for, and a lasting task, which has
-	// no limit of attempts, before it may be placed on a VM on which many runs have failed.
+	// placed where it gets somewhat less than it asks for, and any task before it may be
+	// placed on a VM on which many runs have failed: a lasting one, which has no limit of
+	// attempts, beside others, and any other as a trial (ledger.Node.Trials).
 	forceAfter = 1500 * time.Millisecond
 	// overdueAfter is how long a filling task waits before any idle CPU is enough for it.
 	// Nothing reserves CPU for a large one while smaller ones come and go.
@@ -194,6 +195,11 @@
 		return
 	}
 	priority := p.policy(step.Job).Priority
+	if !task.Lasting { // a trial is not worth the work of others
+		unforced := *task
+		unforced.Forced = false
+		task = &unforced
+	}
 	var best []*ledger.Run
 	for i, vm := range vms {
 		runs := p.victims(task, vm, nodes[i], priority)
@@ -258,7 +264,7 @@
 	s := t.Step.Spec
 	out := newTask(s, ledger.StepKeyOf(t.ID), p.policy(t.Step.Job).Pool, p.locality.farFactor)
 	waited := now.Sub(t.ReadySince)
-	out.Forced, out.Overdue = (s.Fills || s.Lasting) && waited > forceAfter, s.Fills && waited > overdueAfter
+	out.Forced, out.Overdue = waited > forceAfter, s.Fills && waited > overdueAfter
 	if t.EndedRun > 0 {
 		out.AvoidName = t.LastNode
 	}
@@ -347,14 +353,14 @@
 		known.vm.FillingOnly = fillingOnly
 		p.cache[name] = known
 	}
-	known.vm.Trouble = n.TroubleAt(now)
+	known.vm.Trouble, known.vm.Trials = n.TroubleAt(now), n.Trials(now)
 	return known.vm
 }
 
 // describeVM describes a node for placement, with the reservations of its runs.
 func (p *planner) describeVM(n *ledger.Node, now time.Time) *place.VM {
 	vm := n.Describe()
-	vm.Closed, vm.Trouble = n.Probation(), n.TroubleAt(now)
+	vm.Closed = n.Probation()
 	for _, r := range n.Runs {
 		if r.Task == nil {
 			// The resources of an unwanted run are unknown: treat the VM as full
@@ -372,7 +378,7 @@
 			vm.Lasting += s.Need.MilliCPU
 		}
 	}
-	vm.Starting = n.StartingRuns()
+	vm.Starting, vm.Trouble, vm.Trials = n.StartingRuns(), n.TroubleAt(now), n.Trials(now)
 	_, _, serving := tasksOf(n, now)
 	for _, s := range serving {
 		vm.Serving = append(vm.Serving, place.ServingTask{Image: s.Image, Level: float64(s.Tail) / float64(s.Target)})
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -23,13 +23,17 @@
 	plan    planner
 	now     time.Time
 	domains map[string]string // failure domains of the VMs; none by default
+	labels  map[string][]string
+	// accelerators of the VMs; none by default.
+	accelerators map[string]int64
 	// failures is the number of the last end that reportFailures has listed.
 	failures int
+	attempts int // failed runs of a task at which its job fails
 }
 
 func newPlanFixture(vms int) *planFixture {
-	l := &planFixture{now: startTime}
-	l.ledger = ledger.New(ledger.Options{Takeover: startTime, Attempts: func(*ledger.Job) int { return 2 }, Log: func(ledger.Event) {}})
+	l := &planFixture{now: startTime, attempts: 2}
+	l.ledger = ledger.New(ledger.Options{Takeover: startTime, Attempts: func(*ledger.Job) int { return l.attempts }, Log: func(ledger.Event) {}})
 	policy := fleet.Policy{Pool: "pool", MaxAttempts: 2}
 	noSpec := func(string, string) bool { return false }
 	l.plan = newPlanner(l.ledger, func(*ledger.Job) fleet.Policy { return policy }, newStartBudget(0), noSpec)
@@ -48,9 +52,16 @@
 	l.ledger.Tick(l.now, l.now)
 }
 
+func (l *planFixture) executor(name string) *fleet.Executor {
+	return &fleet.Executor{
+		Instance: name, Pool: "pool", FailureDomain: l.domains[name], Labels: l.labels[name],
+		Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 128000, Accelerators: l.accelerators[name]},
+	}
+}
+
 // listOne reports the run list of one VM.
 func (l *planFixture) listOne(name string, n *ledger.Node) {
-	e := &fleet.Executor{Instance: name, Pool: "pool", FailureDomain: l.domains[name], Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 128000}}
+	e := l.executor(name)
 	var running []fleet.Running
 	for id, r := range n.Runs {
 		running = append(running, fleet.Running{Task: id, Run: r.Number, Percent: 100, Reading: 20})
--- a/internal/fleet/ledger/end.go
+++ b/internal/fleet/ledger/end.go
@@ -61,6 +61,7 @@
 	}
 	switch {
 	case e.Reason == fleet.EndDone && !t.Step.Spec.Lasting:
+		n.doneSinceTrouble++
 		l.markDone(t, now)
 	case e.Reason == fleet.EndFailed:
 		l.countFailure(t, n, e.Run, now)
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
+	"vanillalock.example/vanillalock/internal/fleet/place"
 )
 
 // RunState is the state of a run as known to the ledger.
@@ -53,6 +54,7 @@
 	survived      bool      // the executor has not crashed at its start
 	withheld      bool      // not ordered from the present instance
 	repeated      bool      // its start was ordered in several sessions
+	trial         bool      // it was started on a node with much Trouble, and does not last
 	stopListedAt  time.Time // when it was first listed after its stop was last ordered
 	// worked is how long it has worked until PaceSince, as time at full speed. It is exact
 	// only if timed: this leader has started the run without a checkpoint, once.
@@ -442,6 +444,7 @@
 func (l *Ledger) Start(t *Task, n *Node, ticket string, now time.Time) {
 	t.LastRun++
 	r := &Run{ID: t.ID, Number: t.LastRun, Task: t, Node: n, State: Starting, Since: now, ProgressedAt: now, PaceSince: now, Pace: fullPace, timed: t.Checkpoint == ""}
+	r.trial = n.TroubleAt(now) > place.MaxTrouble && !t.Step.Spec.Lasting
 	t.Current, t.LastNode = r, n.Name
 	n.Runs[t.ID] = r
 	n.changes++
--- a/internal/fleet/ledger/node.go
+++ b/internal/fleet/ledger/node.go
@@ -32,7 +32,8 @@
 	// Trouble counts failed runs as 1, refused and unanswered starts as 0.5, and decays with
 	// troubleHalfLife. This is its value at troubleAt; TroubleAt returns later ones.
 	Trouble          float64
-	troubleAt        time.Time // when Trouble was last updated
+	troubleAt        time.Time // last failure, refusal or unanswered start
+	doneSinceTrouble int       // runs that have done their tasks since then
 	changes          uint64
 	listings         int           // number of lists received of the instance
 	complete         bool          // complete lists have come in the present session of the agent
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -21,6 +21,12 @@
 	// refusalTrouble is what a start that is refused, or has no answer, adds to Node.Trouble;
 	// a failed run adds 1.
 	refusalTrouble = 0.5
+	// trialPause is the time after a failure in which an executor with much Trouble is given no
+	// tasks as a trial. It bounds the attempts that are used up while everything fails there.
+	trialPause = 250 * time.Millisecond
+	// trialInterval is the interval without a failure after which an executor with much Trouble
+	// may be given one more task, whether or not the ones before have ended.
+	trialInterval = time.Second
 	// absenceListings is the number of complete lists after the answer to an order
 	// that prove a run absent: the first may have been made before the order.
 	absenceListings = 2
@@ -390,7 +396,25 @@
 // addTrouble adds an amount to the decayed Trouble.
 func (n *Node) addTrouble(amount float64, now time.Time) {
 	n.Trouble = min(troubleLimit, n.TroubleAt(now)+amount)
-	n.troubleAt = now
+	n.troubleAt, n.doneSinceTrouble = now, 0
+}
+
+// Trials returns how many further tasks, other than lasting ones, may be started at once on a
+// node with much Trouble to find out whether its executor has recovered: none right after a
+// failure, then one at a time, and one more for each run that has done its task since and for
+// each trialInterval.
+func (n *Node) Trials(now time.Time) int {
+	calm := now.Sub(n.troubleAt)
+	if calm < trialPause {
+		return 0
+	}
+	trials := 1 + n.doneSinceTrouble + int(calm/trialInterval)
+	for _, r := range n.Runs {
+		if r.trial {
+			trials--
+		}
+	}
+	return trials
 }
 
 // TroubleAt returns Trouble decayed to a time: the weighted number of recent
--- a/internal/fleet/place/explain_test.go
+++ b/internal/fleet/place/explain_test.go
@@ -14,7 +14,7 @@
 	for _, v := range vms {
 		v.Labels = []string{"ssd"}
 	}
-	pool.Pool, closed.Closed, trouble.Trouble, label.Labels = "other", true, maxTrouble+1, nil
+	pool.Pool, closed.Closed, trouble.Trouble, label.Labels = "other", true, MaxTrouble+1, nil
 	memory.Capacity.MemoryMB, perVM.Steps[task.Key] = 10, 1
 	require.Equal(t, Exclusions{Pool: 1, Closed: 1, Trouble: 1, Label: 1, PerVM: 1, CPU: 1, Memory: 1, Fits: 1}, Explain(task, vms, noInterference))
 
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -41,8 +41,10 @@
 	Starting      int               `json:"starting,omitempty"`       // number of tasks that have just been started
 	Trouble       float64           `json:"trouble,omitempty"`        // decaying count of recently failed and refused runs
 	MedianTrouble float64           `json:"median_trouble,omitempty"` // median Trouble of the pool
-	Steps         map[StepKey]int   `json:"-"`                        // number of tasks, by step; only of steps with a MaxPerVM
-	Jobs          map[string]int    `json:"-"`                        // number of lasting tasks, by job
+	Trials        int               `json:"trials,omitempty"`         // further tasks that it takes from forced ones, other than lasting, while it is excluded
+	medians       kindMedians       // median Trouble of the VMs of some kinds
+	Steps         map[StepKey]int   `json:"-"` // number of tasks, by step; only of steps with a MaxPerVM
+	Jobs          map[string]int    `json:"-"` // number of lasting tasks, by job
 }
 
 // ServingTask is a serving task on a VM.
@@ -69,7 +71,7 @@
 	MaxPerVM  int     // largest number of tasks of the step on a VM; 0: no limit
 	AvoidName string  // VM of the last run, if that did not end well
 	Isolated  bool    // goes where the fewest other tasks start and run
-	Forced    bool    // has waited long: accepts a VM with much Trouble, or less CPU than it wants
+	Forced    bool    // has waited long: accepts a VM with much Trouble (as a trial unless Lasting), or less CPU than it wants
 	Overdue   bool    // a filling task that has waited very long: accepts any idle CPU
 }
 
@@ -102,27 +104,74 @@
 	trustedInterference = 0.1
 )
 
-// maxTrouble is the largest Trouble over the median of the pool at which a VM
-// still gets tasks.
-const maxTrouble = 3.0
+// MaxTrouble is the largest Trouble over the median of the VMs that a task may use at which a
+// VM still gets tasks.
+const MaxTrouble = 3.0
 
-// SetMedianTrouble sets the median Trouble of its pool on each VM. A task that
-// fails on most VMs fails through its own fault, which must not exclude all VMs.
+// minComparable is the smallest number of VMs with a label or with accelerators whose median
+// Trouble tells failing tasks from failing VMs.
+const minComparable = 3
+
+// vmKind is what tasks may require of VMs of which there are few.
+type vmKind struct {
+	pool, label  string
+	accelerators bool
+}
+
+// kindMedians holds the median Trouble of the VMs of kinds.
+type kindMedians map[vmKind]float64
+
+// SetMedianTrouble sets the median Trouble of its pool, and of the VMs of its kinds in it, on
+// each VM. A task that fails on most VMs fails through its own fault, which must not exclude
+// all VMs that it and others may use.
 func SetMedianTrouble(vms []*VM) {
 	pools := map[string][]float64{}
+	most := 0.0
 	for _, vm := range vms {
 		if pools[vm.Pool] == nil {
 			pools[vm.Pool] = make([]float64, 0, len(vms))
 		}
 		pools[vm.Pool] = append(pools[vm.Pool], vm.Trouble)
+		most = max(most, vm.Trouble)
 	}
 	for _, troubles := range pools {
 		slices.Sort(troubles)
 	}
+	var medians kindMedians
+	if most > MaxTrouble { // else no VM is excluded
+		medians = mediansByKind(vms)
+	}
 	for _, vm := range vms {
 		troubles := pools[vm.Pool]
-		vm.MedianTrouble = troubles[len(troubles)/2]
+		vm.MedianTrouble, vm.medians = troubles[len(troubles)/2], medians
+	}
+}
+
+// mediansByKind returns the median Trouble of the VMs of each kind of which there are enough.
+func mediansByKind(vms []*VM) kindMedians {
+	troubles := map[vmKind][]float64{}
+	for _, vm := range vms {
+		add := func(label string) {
+			k := vmKind{vm.Pool, label, false}
+			troubles[k] = append(troubles[k], vm.Trouble)
+			if vm.Capacity.Accelerators > 0 {
+				k.accelerators = true
+				troubles[k] = append(troubles[k], vm.Trouble)
+			}
+		}
+		add("")
+		for _, label := range vm.Labels {
+			add(label)
+		}
+	}
+	medians := kindMedians{}
+	for k, of := range troubles {
+		if len(of) >= minComparable && (k.label != "" || k.accelerators) {
+			slices.Sort(of)
+			medians[k] = of[(len(of)-1)/2]
+		}
 	}
+	return medians
 }
 
 // Choose returns the index of the VM with the best score for a task, or -1 if the
@@ -202,7 +251,7 @@
 	switch {
 	case vm.Closed:
 		return filterClosed
-	case vm.isExcluded() && !t.Forced:
+	case vm.isExcluded(t) && !vm.takesForced(t):
 		return filterTrouble
 	case t.Fills && !hasIdleCPU(t, vm):
 		return filterCPU
@@ -237,8 +286,15 @@
 	}
 }
 
-// isExcluded reports whether the VM has so much Trouble that only forced tasks go there.
-func (vm *VM) isExcluded() bool { return vm.Trouble > vm.MedianTrouble+maxTrouble }
+// isExcluded reports whether the VM has so much Trouble that only forced tasks like t go there.
+func (vm *VM) isExcluded(t *Task) bool {
+	median := max(vm.MedianTrouble, vm.medians[vmKind{t.Pool, t.Label, t.Need.Accelerators > 0}])
+	return vm.Trouble > median+MaxTrouble
+}
+
+// takesForced reports whether a VM on which many runs have failed takes a task. A task with a
+// limit of attempts goes there as a trial.
+func (vm *VM) takesForced(t *Task) bool { return t.Forced && (t.Lasting || vm.Trials > 0) }
 
 // isTolerable reports whether a filling task may run beside the serving tasks of
 // a VM. None starts beside a task over its target, whatever the cause.
@@ -273,6 +329,9 @@
 	vm.Reserved = ReservedWith(t, vm.Reserved)
 	vm.Tasks++
 	vm.Starting++
+	if !t.Lasting {
+		vm.Trials--
+	}
 	if t.Fills {
 		vm.Filling += t.Need.MilliCPU
 	} else {
@@ -347,7 +406,7 @@
 		if vm.FillingOnly {
 			s.FillingOnly = -fillingOnlyCores
 		}
-		if vm.isExcluded() {
+		if vm.isExcluded(t) {
 			s.Excluded = -excludedCores
 		}
 		s.Room = -free
