Keep the cancellation of a job that is not stored, for its submission

Cause: a submission asks only that the key of the job does not exist, and a DELETE that finds no key leaves nothing behind. So any submission that is carried out later is stored: by an entry that stood still, by the store after the call was given up, through another entry, or as a retry of the caller.

Change: a cancellation is stored in either case, on the condition that the job is as it was found; `submission` is the only transaction that stores a job and requires that there is no cancellation. It holds beyond the entry that answered, for the retention of final states (status_s and the longest lease): the leader then deletes the keys, on the condition that there is no job. One entry stores at most 10 such cancellations a second, 100 at once; further ones are refused at once with a time to come back. A submission that finds the cancellation is answered as not run.

Related path: an entry's notice of a stored job may reach a leader after the job's records are gone, and added the job again. The leader now ignores notices of jobs stored before what it has watched.

Tests: TestJobIsNotStoredOnceItsCallerWasToldThatThereIsNone plays the four ways; TestLateNoticeOfARemovedJob, TestOnlyCancellationsOfJobsThatWereNeverStoredAreRemoved. All failed before. TestCancellationsOfJobsThatDoNotExistAreBounded is new with the limit. TestForgottenJobDoesNotRunAgainAfterDroppedHistory: a second result of Forget, same check.

Price: one write for each DELETE of a job that does not exist.

--- a/internal/fleet/lead/answer.go
+++ b/internal/fleet/lead/answer.go
@@ -38,7 +38,10 @@
 	now := time.Now()
 	switch q.GetKind() {
 	case link.AskAccepted:
-		l.addJob(q.GetJob(), q.GetRevision(), now)
+		// A job that was stored before what is watched, and is not known, has been removed.
+		if q.GetRevision() > l.watched {
+			l.addJob(q.GetJob(), q.GetRevision(), now)
+		}
 		return &pb.FleetReply{}
 	case link.AskCancelled:
 		l.ledger.Cancel(q.GetId(), now)
--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -29,6 +30,7 @@
 		}
 		if len(records) == 0 {
 			l.deleteExpired(ctx)
+			l.deleteExpiredCancels(ctx)
 			return
 		}
 		l.commitRecords(ctx, records)
@@ -123,6 +125,40 @@
 	}()
 }
 
+// deleteExpiredCancels deletes the cancellations of jobs that were not stored for as long as
+// these are kept. A job that is stored and not known yet keeps its cancellation.
+func (l *Leader) deleteExpiredCancels(ctx context.Context) {
+	const entriesPerJob = 2
+	n := min(len(l.expiredCancels), (fleet.MaxTxn-1)/entriesPerJob)
+	if n == 0 || l.commits > 0 {
+		return
+	}
+	txn := l.txn()
+	for _, id := range l.expiredCancels[:n] {
+		txn.If = append(txn.If, fleet.Condition{Key: fleet.JobBase + id})
+		txn.Delete = append(txn.Delete, fleet.CancelBase+id)
+	}
+	l.commits++
+	go func() {
+		_, err := l.opts.Store.Commit(ctx, txn)
+		l.post(ctx, func() {
+			l.commits--
+			var conflict *fleet.ConflictError
+			switch {
+			case err == nil:
+				l.expiredCancels = l.expiredCancels[n:]
+			case errors.As(err, &conflict):
+				l.expiredCancels = slices.DeleteFunc(l.expiredCancels, func(id string) bool { return conflict.Has(fleet.JobBase + id) })
+			default:
+				l.opts.Log.Warn("Cancellations of jobs that were not stored not removed.", "jobs", n, "err", err)
+			}
+			if err != nil {
+				l.commitAfter = time.Now().Add(commitRetry)
+			}
+		})
+	}()
+}
+
 // deleteRegistration commits the deletion of a registration until it is carried out or no
 // longer applies.
 func (l *Leader) deleteRegistration(ctx context.Context, name string, txn fleet.Txn) {
--- a/internal/fleet/lead/entry.go
+++ b/internal/fleet/lead/entry.go
@@ -29,6 +29,13 @@
 	// notifyAttempts is the number of attempts to notify the leader. If all fail, its
 	// watch of the store still finds the change.
 	notifyAttempts = 3
+	// cancelAttempts bounds the attempts of a cancellation beside which the job is stored or
+	// removed. Either happens once.
+	cancelAttempts = 3
+	// Cancellations of jobs that do not exist, by one entry, a second and at once. Each is kept
+	// for as long as the state of a job that has ended.
+	earlyCancelRate  = 10
+	earlyCancelBurst = 100
 )
 
 // Entry serves callers and takes part in elections. One of the entries leads.
@@ -43,13 +50,14 @@
 	leaving      atomic.Bool
 	stopElection context.CancelFunc
 
-	direct  fleet.Store // the store without relaying
-	store   *relayStore
-	peers   peers
-	fits    fits
-	relayed *semaphore.Weighted                                                               // calls for other entries that are under way
-	explain *rate.Limiter                                                                     // answers to AskExplain
-	askPeer func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
+	direct       fleet.Store // the store without relaying
+	store        *relayStore
+	peers        peers
+	fits         fits
+	relayed      *semaphore.Weighted                                                               // calls for other entries that are under way
+	earlyCancels *rate.Limiter                                                                     // cancellations of jobs that do not exist
+	explain      *rate.Limiter                                                                     // answers to AskExplain
+	askPeer      func(ctx context.Context, address string, q *pb.FleetAsk) (*pb.FleetReply, error) // of another entry
 
 	mu     sync.Mutex
 	leader link.LeaderRecord
@@ -62,6 +70,7 @@
 	e.opts.Config = e.Config
 	e.askPeer = e.peers.ask
 	e.relayed = semaphore.NewWeighted(maxRelayedCalls)
+	e.earlyCancels = rate.NewLimiter(earlyCancelRate, earlyCancelBurst)
 	e.explain = rate.NewLimiter(explainRate, explainRate)
 	e.store = &relayStore{Store: o.Store, relay: e.relayCall}
 	e.opts.Store = e.store
@@ -251,13 +260,16 @@
 			return fleet.Answer{Result: fleet.ResultUnknown, Cause: err.Error()}
 		}
 	}
-	revision, err := e.opts.Store.Commit(ctx, fleet.Txn{If: []fleet.Condition{{Key: key}}, Put: []fleet.Write{{Key: key, Value: value}}})
+	revision, err := e.opts.Store.Commit(ctx, submission(job.ID, value))
 	var conflict *fleet.ConflictError
 	switch {
 	case err == nil:
 		go e.notify(&pb.FleetAsk{Kind: link.AskAccepted, Id: job.ID, Job: value, Revision: revision})
 		return fleet.Answer{}
 	case errors.As(err, &conflict):
+		if !conflict.Has(key) {
+			return fleet.Answer{Result: fleet.ResultNotRun, Cause: "the job was cancelled before it was accepted"}
+		}
 		return fleet.Answer{} // accepted by an earlier submission
 	case errors.Is(err, kv.ErrUnavailable):
 		return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: e.retryAfter(), Cause: err.Error()}
@@ -266,6 +278,13 @@
 	}
 }
 
+// submission returns the transaction that stores a job. Whenever it is carried out, it stores
+// nothing once the job has been cancelled.
+func submission(id string, value []byte) fleet.Txn {
+	key := fleet.JobBase + id
+	return fleet.Txn{If: []fleet.Condition{{Key: key}, {Key: fleet.CancelBase + id}}, Put: []fleet.Write{{Key: key, Value: value}}}
+}
+
 // unsupported returns what a job needs that is not built, or "".
 func unsupported(job *fleet.Job) string {
 	if slices.ContainsFunc(job.Steps, func(s fleet.Step) bool { return s.Gang }) {
@@ -335,18 +354,35 @@
 	return answer
 }
 
+// cancel stores the cancellation of a job, also of one that does not exist: its submission may
+// still be under way. The leader removes such a cancellation once it is as old as the state of
+// a job that has ended may be (Leader.forget).
 func (e *Entry) cancel(ctx context.Context, id string) fleet.Answer {
-	if _, err := e.opts.Store.Get(ctx, fleet.JobBase+id); err != nil {
-		if isNotFound(err) {
+	for range cancelAttempts {
+		job, err := e.opts.Store.Get(ctx, fleet.JobBase+id) // without a revision if there is none
+		exists := err == nil
+		if !exists && !isNotFound(err) {
+			return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.retryAfter(), Cause: err.Error()}
+		}
+		if !exists && !e.earlyCancels.Allow() {
+			return fleet.Answer{Result: fleet.ResultNotRun, RetryAfter: time.Second, Cause: "too many cancellations of jobs that do not exist"}
+		}
+		_, err = e.opts.Store.Commit(ctx, fleet.Txn{
+			If:  []fleet.Condition{{Key: fleet.JobBase + id, Revision: job.Revision}},
+			Put: []fleet.Write{{Key: fleet.CancelBase + id, Value: []byte("{}")}},
+		})
+		switch {
+		case errors.As(err, new(*fleet.ConflictError)): // the job was stored or removed meanwhile
+		case err != nil:
+			return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.retryAfter(), Cause: err.Error()}
+		case !exists:
 			return fleet.Answer{Result: fleet.ResultNoSuchJob, Cause: "no such job"}
+		default:
+			go e.notify(&pb.FleetAsk{Kind: link.AskCancelled, Id: id})
+			return fleet.Answer{}
 		}
-		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.retryAfter(), Cause: err.Error()}
-	}
-	if _, err := e.opts.Store.Commit(ctx, fleet.Txn{Put: []fleet.Write{{Key: fleet.CancelBase + id, Value: []byte("{}")}}}); err != nil {
-		return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.retryAfter(), Cause: err.Error()}
 	}
-	go e.notify(&pb.FleetAsk{Kind: link.AskCancelled, Id: id})
-	return fleet.Answer{}
+	return fleet.Answer{Result: fleet.ResultUnknown, RetryAfter: e.retryAfter(), Cause: "the job changes all the time"}
 }
 
 // Waiting implements fleet.JobService.
--- a/internal/fleet/lead/leader.go
+++ b/internal/fleet/lead/leader.go
@@ -119,6 +119,7 @@
 	deposed         error
 	storedLearned   []byte   // last stored value of fleet.LearnedKey
 	expiredJobs     []string // IDs of jobs whose records are to be deleted
+	expiredCancels  []string // IDs of jobs that were never stored, whose cancellations are to be deleted
 	// forgotten holds the jobs that the ledger has forgotten, until the watch or a
 	// reading of the state has shown that their records are gone, with the revision
 	// that deleted them. A job that was created later is another one.
@@ -412,12 +413,15 @@
 	return l.exclusiveSince != 0 && now.Sub(l.began) > l.predecessor.maxLease
 }
 
-// forget drops the jobs whose retention has ended. Their records are deleted later.
+// forget drops the jobs whose retention has ended, and the cancellations of jobs that were
+// never stored. Their records are deleted later.
 func (l *Leader) forget(keep time.Duration, now time.Time) {
-	for _, id := range l.ledger.Forget(keep, now) {
+	jobs, cancelled := l.ledger.Forget(keep, now)
+	for _, id := range jobs {
 		l.forgotten[id] = math.MaxUint64 // not deleted yet
-		l.expiredJobs = append(l.expiredJobs, id)
 	}
+	l.expiredJobs = append(l.expiredJobs, jobs...)
+	l.expiredCancels = append(l.expiredCancels, cancelled...)
 }
 
 // dispatch places ready tasks, sends orders and stores changed progress.
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -339,8 +339,10 @@
 func (l *Ledger) Cancel(id string, now time.Time) bool {
 	job := l.Jobs[id]
 	if job == nil {
-		l.cancelledEarly[id] = now
-		l.log(Event{What: "cancellation of a job that is not known", Task: fleet.TaskID{Job: id}})
+		if _, known := l.cancelledEarly[id]; !known {
+			l.cancelledEarly[id] = now
+			l.log(Event{What: "cancellation of a job that is not known", Task: fleet.TaskID{Job: id}})
+		}
 		return false
 	}
 	if job.Final == "" {
--- a/internal/fleet/ledger/progress.go
+++ b/internal/fleet/ledger/progress.go
@@ -167,6 +167,7 @@
 	if l.Jobs[id] == nil {
 		job := &Job{Job: fleet.Job{ID: id}, Started: true, Final: state, FinalAt: now, revision: revision}
 		l.Jobs[id] = job
+		delete(l.cancelledEarly, id)
 		l.applyEarlyEnds(job, now)
 	}
 }
@@ -233,12 +234,16 @@
 	return nil
 }
 
-// Forget removes the jobs whose final state is stored and older than keep, and
-// returns their ids. It drops the cancellations of jobs that have not become known for
-// as long.
-func (l *Ledger) Forget(keep time.Duration, now time.Time) []string {
-	maps.DeleteFunc(l.cancelledEarly, func(_ string, at time.Time) bool { return now.Sub(at) > keep })
-	var ids []string
+// Forget removes the jobs whose final state is stored and older than keep, and the
+// cancellations of jobs that have not become known for as long. It returns the ids of both.
+func (l *Ledger) Forget(keep time.Duration, now time.Time) (ids, cancelled []string) {
+	maps.DeleteFunc(l.cancelledEarly, func(id string, at time.Time) bool {
+		if now.Sub(at) <= keep {
+			return false
+		}
+		cancelled = append(cancelled, id)
+		return true
+	})
 	for id, job := range l.Jobs {
 		if job.Final != "" && job.storedVersion >= job.version && now.Sub(job.FinalAt) > keep {
 			ids = append(ids, id)
@@ -246,7 +251,7 @@
 			l.log(Event{What: "job forgotten", Task: fleet.TaskID{Job: id}, Reason: string(job.Final)})
 		}
 	}
-	return ids
+	return ids, cancelled
 }
 
 // Rebase sets the revision of the stored progress of a job after a conflict, so
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -50,6 +51,11 @@
 // Error implements error.
 func (*ConflictError) Error() string { return "store: a condition of the transaction does not hold" }
 
+// Has reports whether one of the keys of the conditions exists.
+func (e *ConflictError) Has(key string) bool {
+	return slices.ContainsFunc(e.Current, func(i Item) bool { return i.Key == key })
+}
+
 // Store is an external linearizable key-value store. Errors match one of
 // kv.ErrNotFound, kv.ErrUnavailable (the call was not carried out), kv.ErrUncertain
 // (it may have been carried out, or may still be), ErrCompacted or *ConflictError.
@@ -115,7 +121,7 @@
 	TermKey      = "vanillalock/term"     // who leads the term of the handover record; valid while both keys have one revision
 	WatchedBase  = "vanillalock/w/"
 	JobBase      = WatchedBase + "job/"    // Job, by ID
-	CancelBase   = WatchedBase + "cancel/" // exists if the cancellation of a job was requested
+	CancelBase   = WatchedBase + "cancel/" // exists if the cancellation of a job was requested, also of one that is not stored
 	NodeBase     = WatchedBase + "node/"   // registration of an agent, by VM
 	ProgressBase = "vanillalock/progress/" // progress of a job
 	EntryBase    = "vanillalock/entry/"    // address of an entry, by VM
