Displace no more tasks of a step than it may miss, on every way

Cause: MaxUnavailable was asked on one way only, the move off VMs that are kept for filling tasks, and there only whether it is set. Preemption, moves off VMs whose serving tasks are disturbed and the stop after a long pause did not ask, and nothing counted the tasks that are away.

Change: the planner can stop a run only by ledger.Displace, which counts the tasks of the step that are not known to be at work for any cause (no run, starting up, being stopped, on a VM without current lists), or by Evict on an executor that drains; Ledger.stop is not exported any more. Preemption chooses among the runs that may be displaced together. Runs on an executor that drains are evicted as before: they end with it in any case, and count as away for others.

TestShrunkCapacityTakesNoStarts failed since starts are withdrawn that do not fit any more: it lists its runs before the capacity shrinks, the checks are the same.

--- a/internal/fleet/lead/planner.go
+++ b/internal/fleet/lead/planner.go
@@ -16,9 +16,6 @@
 // Parameters of the planner. fleet.Step describes lasting, serving and filling
 // tasks.
 const (
-	// maxListAge is the maximum age of the run lists of a VM that accepts new
-	// tasks. Agents send the lists every 0.4 s.
-	maxListAge = 1200 * time.Millisecond
 	// assumedUtilization is the share of its CPU reservation that a lasting task is
 	// assumed to use.
 	assumedUtilization = 0.55
@@ -48,8 +45,7 @@
 	maxPreemptSearches = 8
 	// clearInterval is the minimum interval between moves of lasting tasks off the
 	// VMs kept for filling tasks.
-	clearInterval    = 700 * time.Millisecond
-	startedUpPercent = 100 // percent that a lasting task reports once it has started up
+	clearInterval = 700 * time.Millisecond
 )
 
 // planner starts, moves and preempts the tasks of a ledger. Package place chooses
@@ -202,13 +198,13 @@
 	}
 	var best []*ledger.Run
 	for i, vm := range vms {
-		runs := p.victims(task, vm, nodes[i], priority)
+		runs := p.victims(task, vm, nodes[i], priority, now)
 		if len(runs) > 0 && (best == nil || len(runs) < len(best)) {
 			best = runs
 		}
 	}
 	for _, r := range best {
-		p.ledger.Stop(r, "preempted by a task of "+step.Job.ID)
+		p.ledger.Displace(r, "preempted by a task of "+step.Job.ID, now)
 		p.lastPreemption = now
 	}
 }
@@ -216,7 +212,7 @@
 // victims returns the filling runs of a VM to stop, slowest first, so that a task
 // fits into its memory. It returns none if stopping all of them is not enough, or
 // if the task does not fit for another reason.
-func (p *planner) victims(task *place.Task, vm *place.VM, n *ledger.Node, priority int) []*ledger.Run {
+func (p *planner) victims(task *place.Task, vm *place.VM, n *ledger.Node, priority int, now time.Time) []*ledger.Run {
 	without := *vm
 	without.Reserved.MemoryMB = 0
 	if !place.Fits(task, &without, p.estimator.DisturbanceProbability) {
@@ -238,6 +234,7 @@
 	slices.SortFunc(runs, func(a, b *ledger.Run) int {
 		return cmp.Or(cmp.Compare(a.Pace, b.Pace), b.Since.Compare(a.Since), cmp.Compare(a.ID.String(), b.ID.String()))
 	})
+	runs = p.ledger.Displaceable(runs, now)
 	for i, r := range runs {
 		if missing <= 0 {
 			return runs[:i]
@@ -306,7 +303,7 @@
 // ineligibility returns why a VM takes no tasks, or "" if it may.
 func (p *planner) ineligibility(n *ledger.Node, now time.Time) string {
 	switch {
-	case !n.Listed || now.Sub(n.ListedAt) > maxListAge:
+	case !n.Listed || now.Sub(n.ListedAt) > ledger.MaxListAge:
 		return silentVM
 	case n.Executor.Draining:
 		return drainingVM
@@ -320,7 +317,8 @@
 }
 
 // clearFillingOnly stops one lasting task on a VM that is kept for filling tasks if
-// it fits on another VM. The task is unavailable until it has started up there.
+// it fits on another VM. The task is unavailable until it has started up there, which is not
+// worth what a step may miss.
 func (p *planner) clearFillingOnly(vms []*place.VM, nodes []*ledger.Node, now time.Time) {
 	if now.Sub(p.lastClear) < clearInterval {
 		return
@@ -331,13 +329,13 @@
 			continue
 		}
 		for _, r := range nodes[i].Runs {
-			if r.Task == nil || !r.Task.Step.Spec.Lasting || r.State != ledger.Running || r.Percent < startedUpPercent || r.Task.Step.Spec.MaxUnavailable > 0 {
+			if r.Task == nil || !r.Task.Step.Spec.Lasting || r.State != ledger.Running || r.Percent < ledger.StartedUpPercent || r.Task.Step.Spec.MaxUnavailable > 0 {
 				continue
 			}
 			task := p.describeTask(r.Task, now)
 			task.Forced = false // it does not wait
 			if to := place.Choose(&task, vms, p.estimator.DisturbanceProbability); to >= 0 && !vms[to].FillingOnly {
-				p.ledger.Stop(r, "VM is kept for filling tasks")
+				p.ledger.Displace(r, "VM is kept for filling tasks", now)
 				return
 			}
 		}
@@ -410,7 +408,7 @@
 
 // tailLatency returns the latest tail latency of a serving task, or 0 while it starts up.
 func tailLatency(r *ledger.Run) time.Duration {
-	if r.Percent < startedUpPercent {
+	if r.Percent < ledger.StartedUpPercent {
 		return 0
 	}
 	return time.Duration(r.Reading) * time.Millisecond
@@ -424,8 +422,9 @@
 	p.estimator.Observe(n.Name, filling, serving, now)
 	for i, advice := range p.estimator.Advise(filling, serving) {
 		if r := runs[i]; advice.Pace == 0 && r.Pace == 0 && now.Sub(r.PaceSince) > maxPause {
-			p.ledger.Stop(r, "paused for too long, others need its memory")
-			continue
+			if p.ledger.Displace(r, "paused for too long, others need its memory", now) {
+				continue
+			}
 		}
 		p.ledger.Pace(runs[i], advice.Pace, now)
 		if advice.Move && now.Sub(runs[i].Since) > minRunBeforeMove {
@@ -445,9 +444,10 @@
 		task.Forced, task.Overdue = false, false
 		for _, vm := range vms {
 			if vm.Name != r.Node.Name && place.Fits(&task, vm, p.estimator.DisturbanceProbability) {
-				vm.Take(&task, 0)
-				delete(p.cache, vm.Name) // the reservation is for this plan only
-				p.ledger.Stop(r, "disturbs tasks that serve")
+				if p.ledger.Displace(r, "disturbs tasks that serve", now) {
+					vm.Take(&task, 0)
+					delete(p.cache, vm.Name) // the reservation is for this plan only
+				}
 				break
 			}
 		}
@@ -464,7 +464,7 @@
 		}
 		for _, r := range n.Runs {
 			if r.Task != nil && (r.Task.Step.Spec.Lasting || r.Task.Step.Spec.Checkpoints) {
-				p.ledger.Stop(r, "executor leaves")
+				p.ledger.Evict(r)
 			}
 		}
 	}
--- a/internal/fleet/lead/planner_test.go
+++ b/internal/fleet/lead/planner_test.go
@@ -105,7 +105,7 @@
 // Guards against starts on VMs whose lists are too old, or that are draining.
 func TestPlanLeavesOutSilentAndDrainingVMs(t *testing.T) {
 	l := newPlanFixture(3)
-	l.now = l.now.Add(2 * maxListAge)
+	l.now = l.now.Add(2 * ledger.MaxListAge)
 	l.listOne("vm-001", l.ledger.Nodes["vm-001"])
 	l.listOne("vm-002", l.ledger.Nodes["vm-002"])
 	l.ledger.Nodes["vm-002"].Executor.Draining = true
@@ -177,7 +177,7 @@
 			names := slices.Sorted(maps.Keys(l.ledger.Nodes))
 			b.ResetTimer()
 			for i := range b.N {
-				l.now = l.now.Add(maxListAge / 2 / time.Duration(vms))
+				l.now = l.now.Add(ledger.MaxListAge / 2 / time.Duration(vms))
 				name := names[i%len(names)]
 				l.listOne(name, l.ledger.Nodes[name])
 				l.plan.plan(l.now)
@@ -265,6 +265,7 @@
 	l.submit("short", fleet.Step{Count: 4, Need: structs.Resources{MilliCPU: 8000, MemoryMB: 1000}})
 	l.plan.plan(l.now)
 	require.Len(t, n.Runs, 4)
+	report(32000, 128000) // they are running
 
 	e := n.Executor
 	e.Capacity.MilliCPU = 24000
@@ -276,7 +277,7 @@
 	report(24000, 128000)
 	require.Len(t, n.Runs, 4)
 	stopped := n.Runs[fleet.TaskID{Job: "short"}]
-	l.ledger.Stop(stopped, "test")
+	require.True(t, l.ledger.Displace(stopped, "test", l.now))
 	report(24000, 128000)
 	require.Len(t, n.Runs, 4, "the run that is being stopped still counts")
 	l.ledger.Cancel("short", l.now)
--- a/internal/fleet/lead/suspects_test.go
+++ b/internal/fleet/lead/suspects_test.go
@@ -200,7 +200,7 @@
 	// A task may wait for 3 s once no executor crashes. The VM of each that does holds one of
 	// the places until its lists are too old; a quarter of the VMs may be away then, and half
 	// of the others start suspects.
-	bound := 3*time.Second + time.Duration(f.crashes)*maxListAge/time.Duration(vms*3/8)
+	bound := 3*time.Second + time.Duration(f.crashes)*ledger.MaxListAge/time.Duration(vms*3/8)
 	t.Logf("wait %v, without work %v, all at work in %v, %d executors lost", f.longest, f.down, took, f.crashes)
 	require.LessOrEqual(t, f.longest, bound)
 	require.LessOrEqual(t, f.crashes, 3*deadly, "the first crash of each is not counted")
--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -362,7 +362,7 @@
 			delete(l.openSteps, s)
 			for _, t := range s.Tasks {
 				if t.Current != nil {
-					l.Stop(t.Current, "job "+string(state))
+					l.stop(t.Current, "job "+string(state))
 				}
 			}
 		}
--- a/internal/fleet/ledger/orders.go
+++ b/internal/fleet/ledger/orders.go
@@ -32,8 +32,8 @@
 	return fleet.StartOrder{Task: r.ID, Run: r.Number, Spec: r.Task.Step.Job.Spec, Checkpoint: r.Task.Checkpoint, Ticket: ticket}
 }
 
-// Stop orders the stop of a run. Its task is ready again once the end is known.
-func (l *Ledger) Stop(r *Run, reason string) {
+// stop orders the stop of a run. Its task is ready again once the end is known.
+func (l *Ledger) stop(r *Run, reason string) {
 	if r.State == Stopping {
 		return
 	}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -142,7 +142,7 @@
 	if len(n.Runs) > 1 { // a suspect would be repeated beside others
 		for _, r := range n.Runs {
 			if r.State == Starting && r.Task != nil && r.Task.Suspect() {
-				l.Stop(r, "may crash its executor")
+				l.stop(r, "may crash its executor")
 				r.withheld = true
 			}
 		}
@@ -339,7 +339,7 @@
 	n.Runs[running.Task] = run
 	attach(run, task)
 	if !wanted {
-		l.Stop(run, "not wanted")
+		l.stop(run, "not wanted")
 		return run
 	}
 	l.log(Event{What: "adopt", Task: run.ID, Run: run.Number, Node: n.Name})
@@ -389,7 +389,7 @@
 			l.closeRun(run, p, now, retryDelay)
 			return
 		}
-		l.Stop(run, "refused, an earlier order may have started it")
+		l.stop(run, "refused, an earlier order may have started it")
 	}
 }
 
--- a/internal/fleet/ledger/requirements.go
+++ b/internal/fleet/ledger/requirements.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		if why := l.unmetRequirement(r, vm); why != "" {
-			l.Stop(r, why)
+			l.stop(r, why)
 			l.log(Event{What: "start withdrawn", Task: r.ID, Run: r.Number, Node: n.Name, Reason: why})
 		}
 	}
