Ask the requirements of a repeated start only once the lists have come

Cause: the first report of a session may come without lists. A run that an earlier session has ordered and that is at work by now was then stopped as unconfirmed if its failure domain is evacuated, although the lists that follow confirm it.

Change: withdrawStarts waits for the lists of the session; no orders are taken before them.

Test: TestRunThatTheFirstListsConfirmGoesOn, which failed before. The tests of internal/fleet/ledger pass.

--- a/internal/fleet/ledger/requirements.go
+++ b/internal/fleet/ledger/requirements.go
@@ -29,9 +29,10 @@
 
 // withdrawStarts stops the runs of a node that are not confirmed and whose requirements it does
 // not meet beside all its other runs. Those that are withdrawn with them count too, as they may
-// have been carried out.
+// have been carried out. Without lists of the present session it does nothing: no orders are
+// taken before, and the lists may confirm runs, which then go on.
 func (l *Ledger) withdrawStarts(n *Node) {
-	if !n.isStarting() {
+	if !n.Listed || !n.isStarting() {
 		return
 	}
 	vm := n.Describe()
--- a/internal/fleet/ledger/requirements_test.go
+++ b/internal/fleet/ledger/requirements_test.go
@@ -175,3 +175,19 @@
 		require.Len(t, orders.Stops, 4-starts, "each may have been carried out")
 	}
 }
+
+// Guards against the stop of a run that has been at work while its agent was out of reach, because
+// the first report of the next session comes without lists.
+func TestRunThatTheFirstListsConfirmGoesOn(t *testing.T) {
+	w := newRequirementsFixture(t)
+	w.start("a")
+	w.take()
+	w.ledger.Disconnected(w.node("a"))
+	w.ledger.SetEvacuated(evacuated("west"))
+	e := kindA("a@1")
+	w.ledger.Report(w.node("a"), Report{Executor: &e}, w.now)
+	w.report(e, runningOf(fleet.TaskID{Job: "job"}, 1)...)
+	require.Empty(t, w.take())
+	require.Empty(t, w.stops)
+	require.Equal(t, Running, w.node("a").Runs[fleet.TaskID{Job: "job"}].State)
+}
