End a run by a reported lapse only if it was ordered before

The leader closed the run by the next report and started the task elsewhere, while the executor worked on it. Two gaps: the agent kept the mark over a grant, and a report that was made before the orders arrived proved the end of runs that these start.

Change: a grant that has not expired ends the agent's mark. The ledger counts series of reports that state the lapse; a run is closed by one only if it was last ordered or listed before the first report of the series. Otherwise its end needs another proof: the refusal of the only call, two lists, the leader's own count of the leases, or the next session. So fewer ends are proved than before, none more.

The explorations of the ledger pass.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -54,6 +54,7 @@
 	survived      bool      // the executor has not crashed at its start
 	withheld      bool      // not ordered from the present instance
 	repeated      bool      // its start was ordered in several sessions
+	lapse         uint64    // Node.lapse when it was last ordered or listed; that lapse and earlier ones do not end it
 	trial         bool      // it was started on a node with much Trouble, and does not last
 	stopListedAt  time.Time // when it was first listed after its stop was last ordered
 	// worked is how long it has worked until PaceSince, as time at full speed. It is exact
@@ -445,7 +446,7 @@
 // executor.
 func (l *Ledger) Start(t *Task, n *Node, ticket string, now time.Time) {
 	t.LastRun++
-	r := &Run{ID: t.ID, Number: t.LastRun, Task: t, Node: n, State: Starting, Since: now, ProgressedAt: now, PaceSince: now, Pace: fullPace, timed: t.Checkpoint == ""}
+	r := &Run{ID: t.ID, Number: t.LastRun, Task: t, Node: n, State: Starting, lapse: n.lapse, Since: now, ProgressedAt: now, PaceSince: now, Pace: fullPace, timed: t.Checkpoint == ""}
 	r.trial = n.TroubleAt(now) > place.MaxTrouble && !t.Step.Spec.Lasting
 	t.Current, t.LastNode = r, n.Name
 	n.Runs[t.ID] = r
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -877,3 +877,17 @@
 		w.end("a", taskOf("failed"), 1, fleet.EndFailed), w.end("a", taskOf("adopted"), 1, fleet.EndDone))
 	require.Equal(t, map[string]time.Duration{"slowed": 1500 * time.Millisecond}, worked)
 }
+func TestStartedRunIsNotClosedByALapseFromBeforeItsLease(t *testing.T) {
+	w := newFixture(t, "a", "b")
+	w.list("a", nil)
+	w.list("b", nil)
+	w.add("job", false, one())
+	a := w.node("a")
+	w.ledger.Report(a, Report{Executor: &a.Executor, Lapsed: true}, w.now)
+	w.start("a")
+	_, some := a.TakeOrders()
+	require.True(t, some)
+	w.ledger.Report(a, Report{Executor: &a.Executor, Lapsed: true, Results: []Result{{Task: taskOf("job"), Run: 1, Result: fleet.OrderDone}}}, w.now)
+	w.now = w.now.Add(retryDelay)
+	require.Empty(t, w.ready(), "run 1 is at work on a")
+}
--- a/internal/fleet/ledger/node.go
+++ b/internal/fleet/ledger/node.go
@@ -26,6 +26,10 @@
 	// lapsed is true if the agent has said in the present session that every lease
 	// of the instance has expired, so that no run of earlier terms goes on.
 	lapsed bool
+	// lapse counts the series of reports which state that every lease has expired, and inLapse is
+	// true within one.
+	lapse   uint64
+	inLapse bool
 	// surveyed is set once complete lists have shown every run of earlier terms on the
 	// instance.
 	surveyed bool
--- a/internal/fleet/ledger/proof.go
+++ b/internal/fleet/ledger/proof.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"time"
 
 	"vanillalock.example/vanillalock/internal/fleet"
@@ -14,6 +15,9 @@
 	at   time.Time // when what proves the end was true
 }
 
+// everyLapse is later than each lapse that a node counts.
+const everyLapse = math.MaxUint64
+
 // proofKind is a kind of proof.
 type proofKind uint8
 
@@ -39,7 +43,9 @@
 
 // lapsedByReport returns the proof that every lease of the instance has ended, which its
 // agent states. An agent reports to the leader with the highest term only, and extends no
-// lease by an answer to an earlier report.
+// lease by an answer to an earlier report. It holds for the runs that were ordered or listed
+// before the first report of a series that states it (Node.lapse): the answer to that one may
+// grant a lease and order starts which the agent does not have yet when it makes the next.
 func lapsedByReport(r Report, now time.Time) (proof, bool) {
 	return proof{leaseReported, now}, r.Lapsed
 }
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -86,7 +86,7 @@
 // Disconnected marks a node whose agent is out of reach: its lists are no longer
 // current. Orders without a result are repeated with the next complete lists.
 func (l *Ledger) Disconnected(n *Node) {
-	n.Listed, n.complete, n.lapsed = false, false, false
+	n.Listed, n.complete, n.lapsed, n.inLapse = false, false, false, false
 	n.orders = Orders{}
 }
 
@@ -104,8 +104,11 @@
 	n.Executor = *r.Executor
 	n.noteDomain()
 	if p, lapsed := lapsedByReport(r, now); lapsed {
-		l.expireLease(n, p, now)
+		n.beginLapse()
+		l.expireLease(n, p, n.lapse, now)
 		n.lapsed = true
+	} else {
+		n.inLapse = false
 	}
 	l.countReportedCrashes(n, r.Results, now)
 	for _, result := range r.Results {
@@ -150,17 +153,34 @@
 	n.highestEnd, n.ackedEnds, n.unstoredEnds, n.orders, n.listings = 0, 0, nil, Orders{}, 0
 	n.domains = nil
 	n.completeListings, n.complete = 0, false
-	n.Listed, n.lapsed, n.surveyed = false, false, false
+	n.Listed, n.lapsed, n.inLapse, n.surveyed = false, false, false, false
 }
 
-// expireLease closes all runs of a node whose executor's lease has expired, and
-// drops the orders to start further ones.
-func (l *Ledger) expireLease(n *Node, p proof, now time.Time) {
-	n.lapsedSuspects, n.lapsedLate = append(n.lapsedSuspects, n.suspects()...), append(n.lapsedLate, n.lateSuspects()...)
+// beginLapse records that a report states that every lease has expired. Until a report does not
+// state it, further ones may have been made before the agent had the orders that answer the first.
+func (n *Node) beginLapse() {
+	if !n.inLapse {
+		n.inLapse = true
+		n.lapse++
+	}
+}
+
+// expireLease closes the runs of a node whose executor's lease has expired: those that were
+// ordered or listed before a lapse.
+func (l *Ledger) expireLease(n *Node, p proof, lapse uint64, now time.Time) {
+	before := func(r *Run) bool { return r.lapse < lapse }
+	n.lapsedSuspects = append(n.lapsedSuspects, keepRuns(n.suspects(), before)...)
+	n.lapsedLate = append(n.lapsedLate, keepRuns(n.lateSuspects(), before)...)
 	for _, r := range n.Runs {
-		l.closeRun(r, p, now, 0)
+		if before(r) {
+			l.closeRun(r, p, now, 0)
+		}
 	}
-	n.orders.Starts = nil
+}
+
+// keepRuns returns those of some runs for which keep is true.
+func keepRuns(runs []*Run, keep func(*Run) bool) []*Run {
+	return slices.DeleteFunc(runs, func(r *Run) bool { return !keep(r) })
 }
 
 // closeRun removes a run that has ended by a proof and of which the executor lists no end.
@@ -190,7 +210,7 @@
 		p, expired := lapsedByGrants(n, confirmed)
 		awaited := len(n.Runs) > 0 && !n.listedSince(n.LeaseEnd())
 		if awaited && expired {
-			l.expireLease(n, p, now)
+			l.expireLease(n, p, everyLapse, now)
 		}
 		if n.removed && len(n.Runs) == 0 && (expired || l.Settled) {
 			delete(l.Nodes, n.Name)
@@ -261,7 +281,7 @@
 		l.log(Event{What: "start repeated", Task: r.ID, Run: r.Number, Node: r.Node.Name, Reason: r.Node.Executor.Instance})
 		// An earlier order may have ended by its deadline, which does not hold for this one.
 		r.absentFrom, r.startAnswered = 0, false
-		r.repeated, r.timed = true, false
+		r.repeated, r.timed, r.lapse = true, false, r.Node.lapse
 		r.Node.orders.Starts = append(r.Node.orders.Starts, l.startOrder(r, ""))
 	case r.State == Stopping:
 		r.stopListedAt = time.Time{}
@@ -296,7 +316,7 @@
 			return
 		}
 	}
-	run.lastListing = n.listings
+	run.lastListing, run.lapse = n.listings, n.lapse
 	l.confirmStart(run, now)
 	run.inInstance = run.inInstance || run.startAnswered
 	if run.State == Starting {
@@ -333,7 +353,7 @@
 		// at a time, so the later one has not started.
 		return nil
 	}
-	run := &Run{ID: running.Task, Number: running.Run, Node: n, State: Running, startAnswered: true, inInstance: true, Since: now, ProgressedAt: now, PaceSince: now, Pace: unknownPace}
+	run := &Run{ID: running.Task, Number: running.Run, Node: n, State: Running, lapse: n.lapse, startAnswered: true, inInstance: true, Since: now, ProgressedAt: now, PaceSince: now, Pace: unknownPace}
 	task := l.taskByID(running.Task)
 	wanted := task != nil && task.Current == nil && !task.Done && task.Step.Job.Final == ""
 	n.Runs[running.Task] = run
--- a/internal/fleet/side/agent.go
+++ b/internal/fleet/side/agent.go
@@ -449,6 +449,7 @@
 	}
 	if sent, ok := a.sentReports[m.GetReport()]; ok && m.GetLeaseMs() > 0 {
 		a.lease.extend(sent.reading, sent.sentAt, time.Duration(m.GetLeaseMs())*time.Millisecond)
+		a.lapsed = a.lapsed && (a.executorLeft || a.lease.expired(time.Now()))
 	}
 	if orders.Stored > a.ackedEnd {
 		a.ackedEnd, a.unackedDelay = orders.Stored, minUnackedHoldDelay
