Delay starts that are refused or end unconfirmed again and again

Change: the second run in a row that is closed without a confirmation, by a refusal or by lists that lack it, delays the next start by 0.15 s, further ones by twice as much up to 1.2 s. Ends by a lease or by a new instance are not delayed: each takes a lease or an instance.

--- a/internal/fleet/ledger/ledger.go
+++ b/internal/fleet/ledger/ledger.go
@@ -76,6 +76,9 @@
 	countedAt  uint64 // version of the job with the crashes as last counted
 	Checkpoint string
 	Current    *Run // nil: it has no run
+	// unconfirmed is the number of runs in a row that were closed without an answer or listing
+	// that confirms their start.
+	unconfirmed int
 	// located is set once a run of the task was listed as running in this term. No earlier
 	// leader has started it again: none had heard of the end of that run when the lists were
 	// made, and none hears of it later in a session in which the term is not confirmed. It
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -891,3 +891,31 @@
 	w.now = w.now.Add(retryDelay)
 	require.Empty(t, w.ready(), "run 1 is at work on a")
 }
+
+// Guards against a task that is started hundreds of times within a second, whatever its executor
+// refuses the starts for, and against one that then waits for long.
+func TestStartsThatAreRefusedAgainAndAgainBackOff(t *testing.T) {
+	w := newFixture(t, "a")
+	w.list("a", nil)
+	w.add("job", false, one())
+	var starts []time.Duration
+	for began := w.now; w.now.Sub(began) < 10*time.Second; w.now = w.now.Add(5 * time.Millisecond) {
+		if len(w.ready()) == 0 {
+			continue
+		}
+		w.start("a")
+		starts = append(starts, w.now.Sub(began))
+		run := w.node("a").Runs[taskOf("job")]
+		w.node("a").TakeOrders()
+		w.ledger.applyResult(w.node("a"), Result{Task: run.ID, Run: run.Number, Result: fleet.OrderLate}, w.now)
+	}
+	require.LessOrEqual(t, len(starts), 12)
+	for i := 1; i < len(starts); i++ {
+		require.LessOrEqual(t, starts[i]-starts[i-1], 3*time.Second, "it may start now")
+	}
+	w.now = w.now.Add(maxBackoff)
+	w.start("a")
+	w.list("a", runningOf(taskOf("job"), len(starts)+1))
+	w.ledger.closeRun(w.node("a").Runs[taskOf("job")], proof{kind: leaseReported}, w.now, 0)
+	require.NotEmpty(t, w.ready(), "a confirmed run ends the delays")
+}
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -12,6 +12,9 @@
 	// retryDelay is the time after a refusal before the task is started again, so
 	// that another node can report capacity first.
 	retryDelay = 150 * time.Millisecond
+	// maxBackoff bounds the delay of starts that are refused or end unconfirmed again and again.
+	// A job with room for it may have nothing running for 3 s.
+	maxBackoff = 1200 * time.Millisecond
 	// troubleHalfLife is the half-life of Node.Trouble. Most impaired executors
 	// recover within it.
 	troubleHalfLife = 6 * time.Second
@@ -183,8 +186,18 @@
 	return slices.DeleteFunc(runs, func(r *Run) bool { return !keep(r) })
 }
 
+// startBackoff returns the delay before a task is started again of which a number of runs in a row
+// were closed without a confirmation: none after the first, then it doubles up to maxBackoff.
+func startBackoff(unconfirmed int) time.Duration {
+	if unconfirmed < 2 {
+		return 0
+	}
+	return min(maxBackoff, retryDelay<<min(unconfirmed-2, 8))
+}
+
 // closeRun removes a run that has ended by a proof and of which the executor lists no end.
-// It does not count as an attempt; its task may start again after the delay.
+// It does not count as an attempt; its task may start again after the delay, or later if the
+// runs before were not confirmed either.
 func (l *Ledger) closeRun(r *Run, p proof, now time.Time, delay time.Duration) {
 	delete(r.Node.Runs, r.ID)
 	r.Node.changes++
@@ -193,6 +206,12 @@
 	if t == nil || t.Current != r {
 		return
 	}
+	if t.unconfirmed++; !r.confirmedAt.IsZero() {
+		t.unconfirmed = 0
+	}
+	if p.kind == refused || p.kind == notListed { // the others take a lease or an instance each
+		delay = max(delay, startBackoff(t.unconfirmed))
+	}
 	t.Current, t.NotBefore = nil, now.Add(delay)
 	t.ReadySince = t.NotBefore
 	t.EndedRun = max(t.EndedRun, r.Number)
