Share the commit of deletions, and state no trials for VMs without failures

Cause: found in the read of the diff. The deletion of cancellations repeated the commit of old records; a recorded state named billions of trials for VMs that never failed.

Change: commitDeletion serves both; Trials is 0 where Trouble is.

Measured: the tests of internal/fleet/ledger, place and side pass, of lead those of plans, jobs, cancellations and explanations.

--- a/internal/fleet/lead/commit.go
+++ b/internal/fleet/lead/commit.go
@@ -105,24 +105,18 @@
 	for _, id := range l.expiredJobs[:n] {
 		txn.Delete = append(txn.Delete, fleet.JobBase+id, fleet.CancelBase+id, fleet.ProgressBase+id)
 	}
-	l.commits++
-	go func() {
-		revision, err := l.opts.Store.Commit(ctx, txn)
-		l.post(ctx, func() {
-			l.commits--
-			if err != nil {
-				l.opts.Log.Warn("Records of old jobs not removed.", "jobs", n, "err", err)
-				l.commitAfter = time.Now().Add(commitRetry)
-				return
-			}
-			for _, id := range l.expiredJobs[:n] {
-				if _, ok := l.forgotten[id]; ok {
-					l.forgotten[id] = revision
-				}
+	l.commitDeletion(ctx, txn, func(revision uint64, err error) {
+		if err != nil {
+			l.opts.Log.Warn("Records of old jobs not removed.", "jobs", n, "err", err)
+			return
+		}
+		for _, id := range l.expiredJobs[:n] {
+			if _, ok := l.forgotten[id]; ok {
+				l.forgotten[id] = revision
 			}
-			l.expiredJobs = l.expiredJobs[n:]
-		})
-	}()
+		}
+		l.expiredJobs = l.expiredJobs[n:]
+	})
 }
 
 // deleteExpiredCancels deletes the cancellations of jobs that were not stored for as long as
@@ -138,23 +132,31 @@
 		txn.If = append(txn.If, fleet.Condition{Key: fleet.JobBase + id})
 		txn.Delete = append(txn.Delete, fleet.CancelBase+id)
 	}
+	l.commitDeletion(ctx, txn, func(_ uint64, err error) {
+		var conflict *fleet.ConflictError
+		switch {
+		case err == nil:
+			l.expiredCancels = l.expiredCancels[n:]
+		case errors.As(err, &conflict):
+			l.expiredCancels = slices.DeleteFunc(l.expiredCancels, func(id string) bool { return conflict.Has(fleet.JobBase + id) })
+		default:
+			l.opts.Log.Warn("Cancellations of jobs that were not stored not removed.", "jobs", n, "err", err)
+		}
+	})
+}
+
+// commitDeletion commits a deletion in the background and passes its result to handle in the
+// event loop. After an error there is no further commit for commitRetry.
+func (l *Leader) commitDeletion(ctx context.Context, txn fleet.Txn, handle func(revision uint64, err error)) {
 	l.commits++
 	go func() {
-		_, err := l.opts.Store.Commit(ctx, txn)
+		revision, err := l.opts.Store.Commit(ctx, txn)
 		l.post(ctx, func() {
 			l.commits--
-			var conflict *fleet.ConflictError
-			switch {
-			case err == nil:
-				l.expiredCancels = l.expiredCancels[n:]
-			case errors.As(err, &conflict):
-				l.expiredCancels = slices.DeleteFunc(l.expiredCancels, func(id string) bool { return conflict.Has(fleet.JobBase + id) })
-			default:
-				l.opts.Log.Warn("Cancellations of jobs that were not stored not removed.", "jobs", n, "err", err)
-			}
 			if err != nil {
 				l.commitAfter = time.Now().Add(commitRetry)
 			}
+			handle(revision, err)
 		})
 	}()
 }
--- a/internal/fleet/ledger/evacuation.go
+++ b/internal/fleet/ledger/evacuation.go
@@ -1,8 +1,6 @@
 package ledger
 
-import (
-	"slices"
-)
+import "slices"
 
 // No run is started in an evacuated failure domain: withdrawStarts has the rule.
 
--- a/internal/fleet/ledger/report.go
+++ b/internal/fleet/ledger/report.go
@@ -441,10 +441,10 @@
 // Trials returns how many further tasks, other than lasting ones, may be started at once on a
 // node with much Trouble to find out whether its executor has recovered: none right after a
 // failure, then one at a time, and one more for each run that has done its task since and for
-// each trialInterval.
+// each trialInterval. It is 0 for a node without Trouble, which needs none.
 func (n *Node) Trials(now time.Time) int {
 	calm := now.Sub(n.troubleAt)
-	if calm < trialPause {
+	if n.Trouble == 0 || calm < trialPause {
 		return 0
 	}
 	trials := 1 + n.doneSinceTrouble + int(calm/trialInterval)
